--- /dev/null
+++ b/cmake/ColtsfootforkDependencies.cmake
@@ -0,0 +1,7 @@
+set(Boost_NO_WARN_NEW_VERSIONS ON)
+find_package(Boost 1.81 EXACT REQUIRED COMPONENTS unit_test_framework)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(log4cplus REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_library(DOCOPT_LIBRARY docopt REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
--- /dev/null
+++ b/include/coltsfootfork/core/configuration/configuration.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/core/messages/request_messages.h"
+#include "coltsfootfork/core/types/ids.h"
+#include "coltsfootfork/core/types/rank.h"
+
+// The operators' document in checked and typed form: an inventory and rules.
+namespace coltsfootfork {
+
+struct AvailabilityZone {
+  ZoneId id;
+  std::string region;
+};
+
+struct Service {
+  ServiceId id;
+  RequestKind kind = RequestKind::kGeneration;
+};
+
+// A backend server that the operators expect. One that announces itself with
+// other services or in another zone is a finding.
+struct InventoryServer {
+  ServerId id;
+  ZoneId zone;
+  std::vector<ServiceId> services;
+};
+
+// Zero means that there is no limit.
+struct WorkspaceLimits {
+  std::uint32_t requests_per_second = 0;
+  std::uint32_t tokens_per_second = 0;
+  std::uint32_t concurrent_streams = 0;
+};
+
+struct Workspace {
+  WorkspaceId id;
+  // SHA-256 of the bearer key, in lower-case hexadecimal digits.
+  std::string key_sha256;
+  // The share of tokens beside other workspaces of the same rank.
+  double weight = 1.0;
+  WorkspaceLimits limits;
+};
+
+// Requests that match get the rank; the first rule that matches counts. An
+// empty workspace or service matches all.
+struct RankRule {
+  Rank rank = Rank::kDeferrable;
+  std::optional<WorkspaceId> workspace;
+  std::optional<ServiceId> service;
+};
+
+// Calls that match run at most once. An empty method matches all.
+struct NonIdempotentRule {
+  ServiceId service;
+  std::string method;
+  std::string path_prefix;
+};
+
+// What a rank is promised.
+struct RankTarget {
+  std::chrono::milliseconds first_token{1800};
+  std::chrono::milliseconds token_gap{27};
+  // Requests that cannot start within this are refused as not run.
+  std::chrono::milliseconds start_within{30000};
+};
+
+struct Rules {
+  std::vector<RankRule> ranks;
+  std::vector<NonIdempotentRule> non_idempotent;
+  RankTarget targets[kRankCount];
+  // The share of token capacity that deferrable work keeps during a flood of
+  // urgent work, from 0 to 1.
+  double deferrable_floor = 0.1;
+  // How long a claim of an idempotency key is kept.
+  std::chrono::seconds claim_retention{86400};
+};
+
+struct Configuration {
+  Revision revision = 0;
+  std::vector<AvailabilityZone> zones;
+  std::vector<Service> services;
+  std::vector<InventoryServer> servers;
+  std::vector<Workspace> workspaces;
+  Rules rules;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/include/coltsfootfork/core/messages/entry_io.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coltsfootfork/core/configuration/configuration.h"
+#include "coltsfootfork/core/messages/control_messages.h"
+#include "coltsfootfork/core/messages/request_messages.h"
+
+// Inputs and effects of the entry's decision core.
+namespace coltsfootfork {
+
+// A caller's authenticated request, parsed but not yet routed.
+struct CallerRequest {
+  RequestId request;
+  WorkspaceId workspace;
+  ServiceId service;
+  RequestKind kind = RequestKind::kGeneration;
+  std::string method;
+  std::string target;
+  std::string content_type;
+  std::string body;
+  bool stream = false;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t max_output_tokens = 0;
+  std::vector<std::uint64_t> prefix_blocks;
+  // Empty when the caller sent none.
+  std::string idempotency_key;
+  std::string request_digest;
+};
+
+struct CallerGone {
+  RequestId request;
+};
+
+// How many delivered bytes the caller has not yet taken.
+struct CallerBacklog {
+  RequestId request;
+  std::uint64_t bytes = 0;
+};
+
+struct AgentMessage {
+  ProcessId agent;
+  AgentToEntry message;
+};
+
+// A link to an agent is up; its reports follow.
+struct AgentUp {
+  ProcessId agent;
+};
+
+struct AgentDown {
+  ProcessId agent;
+};
+
+// The directory dropped the agent or marks its server as draining.
+struct DirectoryChanged {
+  std::vector<DirectoryAgent> agents;
+};
+
+struct ConfigurationInForce {
+  std::shared_ptr<const Configuration> configuration;
+};
+
+struct ClaimAnswered {
+  RequestId request;
+  ClaimBeginReply reply;
+};
+
+// No new request is taken; running ones go on to their end.
+struct StopRequested {};
+
+using EntryInput =
+    std::variant<CallerRequest, CallerGone, CallerBacklog, AgentMessage,
+                 AgentUp, AgentDown, DirectoryChanged, ConfigurationInForce,
+                 ClaimAnswered, StopRequested>;
+
+struct SendToAgent {
+  ProcessId agent;
+  EntryToAgent message;
+};
+
+struct DeliverToken {
+  RequestId request;
+  std::uint32_t index = 0;
+  std::string text;
+};
+
+// The generation ended as a whole.
+struct DeliverEnd {
+  RequestId request;
+  std::string finish_reason;
+  std::uint32_t token_count = 0;
+};
+
+// A plain call's answer, or the stored answer of an earlier request.
+struct DeliverAnswer {
+  RequestId request;
+  StoredAnswer answer;
+};
+
+// The request's final answer is a problem document; for a stream that has
+// begun, an explicit incomplete end.
+struct DeliverProblem {
+  RequestId request;
+  Reason reason = Reason::kNone;
+  bool not_run = false;
+  std::chrono::milliseconds retry_after{0};
+};
+
+struct AskClaim {
+  RequestId request;
+  ClaimBegin claim;
+};
+
+struct SettleClaim {
+  ClaimSettle claim;
+};
+
+// Moves the counter of a reason.
+struct CountReason {
+  Reason reason = Reason::kNone;
+  Rank rank = Rank::kDeferrable;
+  ServiceId service;
+};
+
+using EntryEffect =
+    std::variant<SendToAgent, DeliverToken, DeliverEnd, DeliverAnswer,
+                 DeliverProblem, AskClaim, SettleClaim, CountReason>;
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/types/finding.cc
@@ -0,0 +1,13 @@
+#include "coltsfootfork/core/types/finding.h"
+
+namespace coltsfootfork {
+
+std::string Findings::ToText() const {
+  std::string text;
+  for (const Finding& finding : list_) {
+    text += finding.place + ": " + finding.problem + "\n";
+  }
+  return text;
+}
+
+}  // namespace coltsfootfork
