configuration: Read, check, follow and diff the operators' document

The entry, the agents and the command line need one checked reading of the inventory and rules. Size, depth and the number of findings are bounded, and a key that stands twice in an object is refused, which the library by itself would pass over.

ConfigurationFollower keeps a process from going back and says when new work has to be refused. FetchStateReply gets base_revision, so that a late patch is left out instead of leading to a fetch of the whole document.

coltsfootfork_add_test defines BOOST_TEST_MODULE for the first source only: a test of two sources had two main functions.

--- a/cmake/ColtsfootforkModule.cmake
+++ b/cmake/ColtsfootforkModule.cmake
@@ -29,8 +29,11 @@
     coltsfootfork_options ${ARG_LIBRARIES} Boost::unit_test_framework)
   target_compile_definitions(${name}_test PRIVATE
     BOOST_TEST_DYN_LINK
-    BOOST_TEST_MODULE=${name}
     TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}")
+  # Only one source may define the program's main function.
+  list(GET ARG_SOURCES 0 main_source)
+  set_source_files_properties(${main_source} PROPERTIES
+    COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
   target_include_directories(${name}_test PRIVATE
     "${CMAKE_SOURCE_DIR}/src" "${CMAKE_SOURCE_DIR}/tests")
   add_test(NAME ${name} COMMAND ${name}_test)
--- a/include/coltsfootfork/core/messages/control_messages.h
+++ b/include/coltsfootfork/core/messages/control_messages.h
@@ -144,13 +144,15 @@
   // Nothing is known for sure: the replica that answered has no lease.
   bool current = false;
   Revision revision = 0;
-  // A JSON patch (RFC 6902) from have_revision, or the whole document.
+  // A JSON patch (RFC 6902) from base_revision, or the whole document.
   bool is_patch = false;
   std::string payload;
   // SHA-256 of the whole document in canonical form, in hexadecimal digits.
   std::string digest;
   std::uint64_t directory_version = 0;
   std::vector<DirectoryAgent> directory;
+  // The revision that a patch starts from.
+  Revision base_revision = 0;
 };
 
 struct ReadStatus {};
--- /dev/null
+++ b/src/core/configuration/configuration_follower.cc
@@ -0,0 +1,142 @@
+#include "coltsfootfork/core/configuration/configuration_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coltsfootfork/core/configuration/canonical_form.h"
+#include "coltsfootfork/core/configuration/configuration_delta.h"
+#include "coltsfootfork/core/configuration/parse_configuration.h"
+#include "coltsfootfork/core/configuration/sha256.h"
+
+namespace coltsfootfork {
+namespace {
+
+// How many newer revisions are remembered with the time of first hearing.
+constexpr std::size_t kMaxNewerSeen = 64;
+
+std::optional<std::string> ReadWhole(const FetchStateReply& reply) {
+  auto document = CanonicalForm(reply.payload);
+  if (!document.has_value() || Sha256Hex(*document) != reply.digest) {
+    return std::nullopt;
+  }
+  return document;
+}
+
+}  // namespace
+
+ConfigurationFollower::ConfigurationFollower(FollowerLimits limits,
+                                             Revision highest_before_start)
+    : limits_(limits),
+      floor_(highest_before_start),
+      highest_seen_(highest_before_start) {}
+
+Revision ConfigurationFollower::in_force() const {
+  return rules_ == nullptr ? 0 : rules_->revision();
+}
+
+void ConfigurationFollower::OnRevisionSeen(Revision revision, Time now) {
+  if (revision <= highest_seen_) return;
+  highest_seen_ = revision;
+  // Only the oldest of the newer revisions decides how far behind this is.
+  if (newer_seen_.size() < kMaxNewerSeen) newer_seen_.emplace(revision, now);
+  // A reply that is on its way cannot know of it.
+  fetched_at_.reset();
+}
+
+void ConfigurationFollower::OnRevisionConfirmed(Revision revision, Time now) {
+  OnRevisionSeen(revision, now);
+  // A leader that knows less than this process has seen confirms nothing.
+  if (revision == highest_seen_ && revision == in_force() && revision != 0) {
+    confirmed_at_ = now;
+  }
+}
+
+void ConfigurationFollower::OnDirectoryVersionSeen(std::uint64_t version,
+                                                   Time /*now*/) {
+  if (version <= directory_seen_) return;
+  directory_seen_ = version;
+  fetched_at_.reset();
+}
+
+FollowResult ConfigurationFollower::OnReply(const FetchStateReply& reply,
+                                            Time now) {
+  FollowResult result;
+  OnRevisionSeen(reply.revision, now);
+  if (!reply.payload.empty()) {
+    result.outcome = TakeDocument(reply, result.findings);
+  }
+  if (result.outcome == FollowOutcome::kInForce) {
+    ForgetSeenUpTo(reply.revision);
+    if (IsBehind() && newer_seen_.empty()) {
+      newer_seen_.emplace(highest_seen_, now);
+    }
+  }
+  result.directory_changed = TakeDirectory(reply);
+  if (reply.current) OnRevisionConfirmed(reply.revision, now);
+  return result;
+}
+
+FollowOutcome ConfigurationFollower::TakeDocument(const FetchStateReply& reply,
+                                                  Findings& findings) {
+  if (reply.revision < floor_ || reply.revision < in_force()) {
+    return FollowOutcome::kIgnoredOlder;
+  }
+  if (reply.revision == in_force()) return FollowOutcome::kUnchanged;
+  if (reply.is_patch && reply.base_revision != in_force()) {
+    return FollowOutcome::kUnchanged;
+  }
+  auto document = reply.is_patch
+                      ? ApplyDelta(document_, reply.payload, reply.digest)
+                      : ReadWhole(reply);
+  want_whole_ = !document.has_value();
+  if (!document.has_value()) return FollowOutcome::kDigestMismatch;
+  auto configuration = ParseConfiguration(*document, findings);
+  if (!configuration.has_value()) return FollowOutcome::kInvalid;
+  configuration->revision = reply.revision;
+  rules_ = std::make_shared<const ServingRules>(
+      std::make_shared<const Configuration>(std::move(*configuration)));
+  document_ = std::move(*document);
+  digest_ = reply.digest;
+  return FollowOutcome::kInForce;
+}
+
+bool ConfigurationFollower::TakeDirectory(const FetchStateReply& reply) {
+  if (!reply.current || reply.directory_version <= directory_version_) {
+    return false;
+  }
+  directory_version_ = reply.directory_version;
+  directory_seen_ = std::max(directory_seen_, directory_version_);
+  directory_ = reply.directory;
+  return true;
+}
+
+void ConfigurationFollower::ForgetSeenUpTo(Revision revision) {
+  newer_seen_.erase(newer_seen_.begin(), newer_seen_.upper_bound(revision));
+}
+
+bool ConfigurationFollower::MustFetch(Time now) const {
+  return IsBehind() || want_whole_ || !confirmed_at_.has_value() ||
+         directory_seen_ > directory_version_ ||
+         now - *confirmed_at_ >= limits_.confirm_interval;
+}
+
+std::optional<FetchState> ConfigurationFollower::Tick(Time now) {
+  const bool waiting =
+      fetched_at_.has_value() && now - *fetched_at_ < limits_.fetch_retry;
+  if (waiting || !MustFetch(now)) return std::nullopt;
+  fetched_at_ = now;
+  return FetchState{in_force(), directory_version_, want_whole_};
+}
+
+std::optional<Reason> ConfigurationFollower::RefusalReason(Time now) const {
+  if (rules_ == nullptr) return Reason::kNotConfigured;
+  if (!confirmed_at_.has_value()) return Reason::kRevisionUnconfirmed;
+  const bool too_far_behind =
+      !newer_seen_.empty() &&
+      now - newer_seen_.begin()->second >= limits_.behind_limit;
+  const bool unconfirmed = now - *confirmed_at_ >= limits_.unconfirmed_limit;
+  if (too_far_behind || unconfirmed) return Reason::kRevisionUnconfirmed;
+  return std::nullopt;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/configuration/json_text.cc
@@ -0,0 +1,122 @@
+#include "json_text.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/core/configuration/parse_configuration.h"
+
+namespace coltsfootfork {
+namespace {
+
+using Json = nlohmann::json;
+
+// Watches the events of the reader for what the finished value cannot show
+// any more: keys that stand twice, and nesting that is too deep.
+class TextCheck : public nlohmann::json_sax<Json> {
+ public:
+  TextCheck(std::string_view text, BoundedFindings& findings)
+      : text_(text), findings_(findings) {}
+
+  bool null() override { return Value(); }
+  bool boolean(bool /*value*/) override { return Value(); }
+  bool number_integer(Json::number_integer_t /*value*/) override {
+    return Value();
+  }
+  bool number_unsigned(Json::number_unsigned_t /*value*/) override {
+    return Value();
+  }
+  bool number_float(Json::number_float_t /*value*/,
+                    const std::string& /*text*/) override {
+    return Value();
+  }
+  bool string(std::string& /*value*/) override { return Value(); }
+  bool binary(Json::binary_t& /*value*/) override { return Value(); }
+
+  bool start_object(std::size_t /*elements*/) override { return Open(false); }
+  bool start_array(std::size_t /*elements*/) override { return Open(true); }
+  bool end_object() override { return Close(); }
+  bool end_array() override { return Close(); }
+
+  bool key(std::string& name) override {
+    Level& level = levels_.back();
+    level.key = name;
+    if (!level.keys.insert(name).second) {
+      findings_.Add(Pointer(), "the key stands twice in its object");
+    }
+    return true;
+  }
+
+  bool parse_error(std::size_t position, const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    const std::size_t end =
+        std::min(position > 0 ? position - 1 : 0, text_.size());
+    const std::string_view before = text_.substr(0, end);
+    const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+    const std::size_t line_start = before.rfind('\n');
+    const std::size_t column =
+        line_start == std::string_view::npos ? end + 1 : end - line_start;
+    findings_.Add(
+        "line " + std::to_string(line) + ", column " + std::to_string(column),
+        "the text is not JSON from here on");
+    return false;
+  }
+
+ private:
+  struct Level {
+    bool is_list = false;
+    std::size_t next_index = 0;
+    std::string key;
+    std::set<std::string> keys;
+  };
+
+  bool Value() {
+    if (!levels_.empty()) ++levels_.back().next_index;
+    return true;
+  }
+
+  bool Open(bool is_list) {
+    Value();
+    if (levels_.size() >= kMaxDocumentDepth) {
+      findings_.Add(Pointer(), "objects and lists are nested too deep");
+      return false;
+    }
+    levels_.push_back({is_list, 0, {}, {}});
+    return true;
+  }
+
+  bool Close() {
+    levels_.pop_back();
+    return true;
+  }
+
+  std::string Pointer() const {
+    std::string pointer;
+    for (const Level& level : levels_) {
+      pointer = level.is_list ? ChildPointer(pointer, level.next_index - 1)
+                              : ChildPointer(pointer, level.key);
+    }
+    return pointer;
+  }
+
+  std::string_view text_;
+  BoundedFindings& findings_;
+  std::vector<Level> levels_;
+};
+
+}  // namespace
+
+std::optional<Json> ReadJsonText(std::string_view text,
+                                 BoundedFindings& findings) {
+  if (text.size() > kMaxDocumentBytes) {
+    findings.Add("", "the document is larger than " +
+                         std::to_string(kMaxDocumentBytes) + " bytes");
+    return std::nullopt;
+  }
+  TextCheck check(text, findings);
+  if (!Json::sax_parse(text.begin(), text.end(), &check)) return std::nullopt;
+  return Json::parse(text.begin(), text.end(), nullptr, false);
+}
+
+}  // namespace coltsfootfork
