control_state: Add the replicated state machine, claims, leases and service

The replicated log needs a deterministic state behind it.

Leases stay out of the log (one renewal a second from every process would use up the budget of 4 KB/s). LeaseTable is the leader's own and is rebuilt from renewals; it hands out no directory before one lease has passed, also when a leader leads again in the same term. An older incarnation is refused while a newer one lives or after it was replaced, yet a host whose clock stepped back gets in once the former lease has run out.

Added to the shared messages, with defaults: PutConfiguration.is_patch and .digest, ClaimBeginReply.problem, ReadStatusReply.findings.

--- /dev/null
+++ b/include/coltsfootfork/core/control_state/control_service.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+
+#include "coltsfootfork/core/control_state/control_command.h"
+#include "coltsfootfork/core/control_state/control_state.h"
+#include "coltsfootfork/core/control_state/lease_table.h"
+#include "coltsfootfork/core/messages/control_messages.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// What replication knows of the leadership at the time of a request.
+struct LeaderView {
+  // This replica leads, its leader lease holds, and it has applied an entry
+  // of its own term, so that what it has applied is current.
+  bool holds_lease = false;
+  // The leader as far as known.
+  ProcessId leader;
+  std::uint64_t term = 0;
+};
+
+// A reply to send now, or a command to propose to the log; the reply to the
+// request is then what ControlState::Apply returns for it.
+using ServiceAnswer = std::variant<ControlReply, ControlCommand>;
+
+// Answers control requests on a replica. Reads and leases are answered at
+// once, writes need the log. It checks changes before they are proposed, and
+// turns documents into patches, so that the log stays small.
+class ControlService {
+ public:
+  // The state must outlive the service.
+  explicit ControlService(const ControlState& state, LeaseLimits limits = {})
+      : state_(state), leases_(limits) {}
+
+  // The wall clock is the time since 1970.
+  ServiceAnswer Handle(const ControlRequest& request, const LeaderView& view,
+                       std::chrono::milliseconds wall_clock, Time now);
+
+  // To be called a few times in a lease period.
+  void Tick(const LeaderView& view, Time now);
+
+  // The reply to a request whose proposal was lost or timed out.
+  ControlReply NoQuorumReply(const ControlRequest& request) const;
+
+ private:
+  // The point from which a leader's command times run on with the monotonic
+  // clock, so that a step of the wall clock does not expire claims.
+  struct ClockBase {
+    std::chrono::milliseconds wall_clock{0};
+    Time now{};
+  };
+
+  void TakeView(const LeaderView& view, Time now);
+  void TakeRules();
+  ControlCommand Command(ControlRequest request,
+                         std::chrono::milliseconds wall_clock, Time now);
+  ServiceAnswer Propose(const PutConfiguration& put,
+                        std::chrono::milliseconds wall_clock, Time now);
+  PutConfiguration ForLog(const PutConfiguration& put,
+                          const std::string& canonical) const;
+  FetchStateReply Fetch(const FetchState& fetch, bool current, Time now);
+  RenewLeaseReply Renew(const RenewLease& renew, bool current, Time now);
+  ReadStatusReply Status(const LeaderView& view, Time now) const;
+
+  const ControlState& state_;
+  LeaseTable leases_;
+  std::optional<std::uint64_t> leading_term_;
+  std::optional<ClockBase> clock_;
+  Revision rules_revision_ = 0;
+};
+
+}  // namespace coltsfootfork
--- a/include/coltsfootfork/core/messages/control_messages.h
+++ b/include/coltsfootfork/core/messages/control_messages.h
@@ -55,6 +55,8 @@
 struct ClaimBeginReply {
   ClaimVerdict verdict = ClaimVerdict::kNoQuorum;
   StoredAnswer answer;
+  // Why no claim could be made although there is a quorum; empty otherwise.
+  std::string problem;
 };
 
 enum class ClaimOutcome : std::uint8_t { kDone = 0, kNotRun, kUnknown };
@@ -78,6 +80,12 @@
   std::string change_id;
   // The document as JSON text.
   std::string document;
+  // Set by the leader for the log: the document is a JSON patch from the
+  // expected revision.
+  bool is_patch = false;
+  // Set by the leader for the log: SHA-256 of the whole document in canonical
+  // form.
+  std::string digest;
 };
 
 enum class PutVerdict : std::uint8_t {
@@ -168,6 +176,9 @@
   std::uint64_t term = 0;
   Revision revision = 0;
   std::vector<ProcessStatus> processes;
+  // Backend servers that the inventory lacks or contradicts, and names or
+  // addresses that two processes claim.
+  std::vector<Finding> findings;
 };
 
 using ControlRequest = std::variant<ClaimBegin, ClaimSettle, PutConfiguration,
--- a/include/coltsfootfork/core/types/time.h
+++ b/include/coltsfootfork/core/types/time.h
@@ -12,6 +12,8 @@
   using period = std::micro;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<MonotonicClock>;
+  // The standard gives this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
 
--- /dev/null
+++ b/src/core/control_state/claim_table.cc
@@ -0,0 +1,196 @@
+#include "coltsfootfork/core/control_state/claim_table.h"
+
+#include <utility>
+
+#include "cbor.h"
+#include "control_fields.h"
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+ClaimBeginReply Verdict(ClaimVerdict verdict) { return {verdict, {}, {}}; }
+
+// A snapshot of a larger table may fill a smaller one beyond its limit.
+std::size_t FreeOf(std::size_t limit, std::size_t used) {
+  return limit > used ? limit - used : 0;
+}
+
+std::size_t BytesOf(const StoredAnswer& answer) {
+  return answer.body.size() + answer.content_type.size();
+}
+
+}  // namespace
+
+template <typename A>
+void Fields(A& archive, ClaimTable::Claim& claim) {
+  archive("digest", claim.request_digest);
+  archive("holder", claim.holder);
+  archive("state", claim.state);
+  archive("changed_at_ms", claim.changed_at);
+  archive("has_answer", claim.has_answer);
+  if (claim.has_answer) archive("answer", claim.answer);
+}
+
+ClaimBeginReply ClaimTable::Begin(const ClaimBegin& begin, milliseconds now) {
+  const auto found = claims_.find(begin.claim);
+  return found == claims_.end() ? BeginNew(begin, now)
+                                : BeginAgain(begin, found, now);
+}
+
+ClaimBeginReply ClaimTable::BeginNew(const ClaimBegin& begin,
+                                     milliseconds now) {
+  const std::size_t free = FreeOf(limits_.max_claims, total_.claims);
+  if (usage_[begin.claim.workspace].claims >= free) {
+    ClaimBeginReply reply = Verdict(ClaimVerdict::kNoQuorum);
+    reply.problem = "the workspace holds too many claims";
+    return reply;
+  }
+  Claim claim;
+  claim.request_digest = begin.request_digest;
+  claim.holder = begin.request;
+  claim.changed_at = now;
+  Insert(begin.claim, std::move(claim));
+  return Verdict(ClaimVerdict::kGranted);
+}
+
+ClaimBeginReply ClaimTable::BeginAgain(const ClaimBegin& begin,
+                                       Claims::iterator found,
+                                       milliseconds now) {
+  Claim& claim = found->second;
+  if (claim.request_digest != begin.request_digest) {
+    return Verdict(ClaimVerdict::kKeyReused);
+  }
+  const bool is_holder = claim.holder == begin.request;
+  switch (claim.state) {
+    case State::kDone: {
+      if (!claim.has_answer) return Verdict(ClaimVerdict::kOutcomeUnknown);
+      return {ClaimVerdict::kDone, claim.answer, {}};
+    }
+    case State::kUnknown:
+      return Verdict(ClaimVerdict::kOutcomeUnknown);
+    case State::kNotRun: {
+      // A late copy of the holder's own message: nobody waits for it.
+      if (is_holder) return Verdict(ClaimVerdict::kOutcomeUnknown);
+      claim.holder = begin.request;
+      claim.state = State::kInProgress;
+      Touch(found, now);
+      return Verdict(ClaimVerdict::kGranted);
+    }
+    case State::kInProgress:
+      break;
+  }
+  // The holder asks again after a lost answer.
+  if (is_holder) return Verdict(ClaimVerdict::kGranted);
+  const bool given_up = now - claim.changed_at >= limits_.in_progress_limit;
+  return Verdict(given_up ? ClaimVerdict::kOutcomeUnknown
+                          : ClaimVerdict::kInProgress);
+}
+
+ClaimSettleReply ClaimTable::Settle(const ClaimSettle& settle,
+                                    milliseconds now) {
+  const auto found = claims_.find(settle.claim);
+  if (found == claims_.end() || found->second.holder != settle.request) {
+    return {false};
+  }
+  Claim& claim = found->second;
+  // What ran stays so, whatever comes later.
+  if (claim.state == State::kDone) {
+    return {settle.outcome == ClaimOutcome::kDone};
+  }
+  switch (settle.outcome) {
+    case ClaimOutcome::kDone:
+      claim.state = State::kDone;
+      KeepAnswer(found, settle.answer);
+      break;
+    case ClaimOutcome::kNotRun:
+      claim.state = State::kNotRun;
+      break;
+    case ClaimOutcome::kUnknown:
+      claim.state = State::kUnknown;
+      break;
+  }
+  Touch(found, now);
+  return {true};
+}
+
+void ClaimTable::Expire(milliseconds retention, milliseconds now) {
+  while (!by_change_.empty() && by_change_.begin()->first + retention <= now) {
+    Erase(claims_.find(by_change_.begin()->second));
+  }
+}
+
+void ClaimTable::Touch(Claims::iterator claim, milliseconds now) {
+  by_change_.erase({claim->second.changed_at, claim->first});
+  claim->second.changed_at = now;
+  by_change_.emplace(now, claim->first);
+}
+
+void ClaimTable::KeepAnswer(Claims::iterator claim,
+                            const StoredAnswer& answer) {
+  const std::size_t size = BytesOf(answer);
+  Usage& usage = usage_[claim->first.workspace];
+  const std::size_t free =
+      FreeOf(limits_.max_total_answer_bytes, total_.answer_bytes);
+  if (size > limits_.max_answer_bytes || usage.answer_bytes + size > free) {
+    return;
+  }
+  claim->second.has_answer = true;
+  claim->second.answer = answer;
+  usage.answer_bytes += size;
+  total_.answer_bytes += size;
+}
+
+void ClaimTable::Insert(const ClaimKey& key, Claim claim) {
+  by_change_.emplace(claim.changed_at, key);
+  const std::size_t size = BytesOf(claim.answer);
+  Usage& usage = usage_[key.workspace];
+  usage.claims += 1;
+  usage.answer_bytes += size;
+  total_.claims += 1;
+  total_.answer_bytes += size;
+  claims_.emplace(key, std::move(claim));
+}
+
+void ClaimTable::Erase(Claims::iterator claim) {
+  const std::size_t size = BytesOf(claim->second.answer);
+  Usage& usage = usage_[claim->first.workspace];
+  usage.claims -= 1;
+  usage.answer_bytes -= size;
+  total_.claims -= 1;
+  total_.answer_bytes -= size;
+  if (usage.claims == 0) usage_.erase(claim->first.workspace);
+  by_change_.erase({claim->second.changed_at, claim->first});
+  claims_.erase(claim);
+}
+
+std::string ClaimTable::Snapshot() const {
+  auto list = nlohmann::json::array();
+  for (const auto& [key, claim] : claims_) {
+    ClaimKey key_copy = key;
+    Claim claim_copy = claim;
+    auto json = WriteField(claim_copy);
+    json["key"] = WriteField(key_copy);
+    list.push_back(std::move(json));
+  }
+  return WriteCbor(list);
+}
+
+bool ClaimTable::Restore(std::string_view bytes) {
+  const auto list = ReadCbor(bytes);
+  if (!list.has_value() || !list->is_array()) return false;
+  ClaimTable restored(limits_);
+  for (const auto& json : *list) {
+    ClaimKey key;
+    Claim claim;
+    if (!json.is_object() || !json.contains("key")) return false;
+    if (!ReadField(json["key"], key) || !ReadField(json, claim)) return false;
+    if (restored.claims_.count(key) > 0) return false;
+    restored.Insert(key, std::move(claim));
+  }
+  *this = std::move(restored);
+  return true;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/control_state/lease_table.cc
@@ -0,0 +1,270 @@
+#include "coltsfootfork/core/control_state/lease_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootfork {
+namespace {
+
+// More processes than any fleet has; further ones are refused.
+constexpr std::size_t kMaxProcesses = 8192;
+// Replaced incarnations that are remembered of one process or server.
+constexpr std::size_t kMaxReplaced = 8;
+// The directory's version holds the term above this many bits.
+constexpr unsigned kDirectoryCountBits = 32;
+
+bool Contains(const std::vector<std::uint64_t>& list, std::uint64_t value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+void AddReplaced(std::vector<std::uint64_t>& list, std::uint64_t value) {
+  if (list.size() == kMaxReplaced) list.erase(list.begin());
+  list.push_back(value);
+}
+
+bool SameInDirectory(const RenewLease& a, const RenewLease& b) {
+  return a.address == b.address && a.zone == b.zone && a.server == b.server &&
+         a.services == b.services && a.draining == b.draining &&
+         a.stopping == b.stopping;
+}
+
+bool SameAgent(const DirectoryAgent& a, const DirectoryAgent& b) {
+  return a.process == b.process && a.address == b.address && a.zone == b.zone &&
+         a.server == b.server && a.services == b.services &&
+         a.draining == b.draining;
+}
+
+// Another process may have taken the name over in the meantime.
+template <typename Map, typename Key>
+void EraseOwner(Map& owners, const Key& key, const ProcessId& process) {
+  const auto owner = owners.find(key);
+  if (owner != owners.end() && owner->second == process) owners.erase(owner);
+}
+
+DirectoryAgent AgentOf(const RenewLease& last) {
+  return {last.process, last.address,  last.zone,
+          last.server,  last.services, last.draining || last.stopping};
+}
+
+}  // namespace
+
+void LeaseTable::Reset(std::uint64_t term, Time now) {
+  LeaseTable fresh(limits_);
+  fresh.rules_ = std::move(rules_);
+  // Within a term the version must not start again.
+  if (term == term_) fresh.directory_count_ = directory_count_;
+  fresh.term_ = term;
+  fresh.started_at_ = now;
+  *this = std::move(fresh);
+}
+
+bool LeaseTable::IsLive(const Holder& holder, Time now) const {
+  return now - holder.renewed_at < limits_.lease;
+}
+
+bool LeaseTable::Renew(const RenewLease& renew, Time now) {
+  const auto holder = holders_.find(renew.process);
+  if (holder != holders_.end() && IsReplaced(holder->second, renew, now)) {
+    return Refuse(renew, "a later incarnation has replaced this one", now);
+  }
+  if (holder == holders_.end() && holders_.size() >= kMaxProcesses) {
+    return Refuse(renew, "too many processes", now);
+  }
+  if (LosesAddress(renew, now)) {
+    return Refuse(renew, "a newer process has the address " + renew.address,
+                  now);
+  }
+  if (LosesServer(renew, now)) {
+    return Refuse(renew, "a newer process has the engine", now);
+  }
+  Accept(renew, now);
+  return true;
+}
+
+bool LeaseTable::IsReplaced(const Holder& holder, const RenewLease& renew,
+                            Time now) const {
+  // Incarnations are start times. After a step back of its host's clock a
+  // restarted process gets in once the lease of the former one has run out.
+  const bool older =
+      renew.incarnation < holder.last.incarnation && IsLive(holder, now);
+  const bool late_server =
+      renew.server == holder.last.server &&
+      Contains(holder.replaced_servers, renew.server_incarnation);
+  return older || late_server || Contains(holder.replaced, renew.incarnation);
+}
+
+const LeaseTable::Holder* LeaseTable::LiveOther(const ProcessId& owner,
+                                                const RenewLease& renew,
+                                                Time now) const {
+  if (owner == renew.process) return nullptr;
+  const auto holder = holders_.find(owner);
+  if (holder == holders_.end() || !IsLive(holder->second, now)) return nullptr;
+  return &holder->second;
+}
+
+bool LeaseTable::LosesAddress(const RenewLease& renew, Time now) {
+  const auto owner = by_address_.find(renew.address);
+  if (owner == by_address_.end()) return false;
+  const Holder* other = LiveOther(owner->second, renew, now);
+  if (other == nullptr) return false;
+  if (other->last.incarnation >= renew.incarnation) return true;
+  Forget(ProcessId(owner->second));
+  return false;
+}
+
+bool LeaseTable::LosesServer(const RenewLease& renew, Time now) {
+  const auto owner = by_server_.find(renew.server);
+  if (owner == by_server_.end()) return false;
+  const Holder* other = LiveOther(owner->second, renew, now);
+  if (other == nullptr) return false;
+  const RenewLease& last = other->last;
+  const bool other_is_newer =
+      last.server_incarnation != renew.server_incarnation
+          ? last.server_incarnation > renew.server_incarnation
+          : last.incarnation >= renew.incarnation;
+  if (other_is_newer) return true;
+  Forget(ProcessId(owner->second));
+  return false;
+}
+
+bool LeaseTable::Refuse(const RenewLease& renew, std::string problem,
+                        Time now) {
+  const bool known = refusals_.count(renew.process) > 0;
+  if (known || refusals_.size() < kMaxProcesses) {
+    refusals_[renew.process] = {std::move(problem), now};
+  }
+  return false;
+}
+
+void LeaseTable::Accept(const RenewLease& renew, Time now) {
+  Holder& holder = holders_[renew.process];
+  const RenewLease& last = holder.last;
+  const bool known = !last.process.empty();
+  if (known && last.incarnation != renew.incarnation) {
+    AddReplaced(holder.replaced, last.incarnation);
+    holder.replaced_servers.clear();
+  } else if (known && last.server == renew.server &&
+             last.server_incarnation != renew.server_incarnation) {
+    AddReplaced(holder.replaced_servers, last.server_incarnation);
+  }
+  if (!known || !SameInDirectory(last, renew)) directory_stale_ = true;
+  EraseOwner(by_address_, last.address, renew.process);
+  EraseOwner(by_server_, last.server, renew.process);
+  if (!renew.address.empty()) by_address_[renew.address] = renew.process;
+  if (!renew.server.empty()) by_server_[renew.server] = renew.process;
+  holder.last = renew;
+  holder.renewed_at = now;
+  refusals_.erase(renew.process);
+}
+
+void LeaseTable::Forget(const ProcessId& process) {
+  const auto holder = holders_.find(process);
+  if (holder == holders_.end()) return;
+  EraseOwner(by_address_, holder->second.last.address, process);
+  EraseOwner(by_server_, holder->second.last.server, process);
+  holders_.erase(holder);
+  directory_stale_ = true;
+}
+
+void LeaseTable::ForgetSilent(Time now) {
+  std::vector<ProcessId> silent;
+  for (const auto& [process, holder] : holders_) {
+    if (now - holder.renewed_at >= limits_.forget_after) {
+      silent.push_back(process);
+    }
+  }
+  for (const ProcessId& process : silent) Forget(process);
+  for (auto refusal = refusals_.begin(); refusal != refusals_.end();) {
+    const bool old = now - refusal->second.at >= limits_.forget_after;
+    refusal = old ? refusals_.erase(refusal) : std::next(refusal);
+  }
+}
+
+void LeaseTable::Tick(Time now) {
+  ForgetSilent(now);
+  for (auto& [process, holder] : holders_) {
+    const bool live = IsLive(holder, now);
+    if (live != holder.was_live) directory_stale_ = true;
+    holder.was_live = live;
+  }
+}
+
+void LeaseTable::SetRules(std::shared_ptr<const ServingRules> rules) {
+  rules_ = std::move(rules);
+  directory_stale_ = true;
+}
+
+std::uint64_t LeaseTable::directory_version(Time now) {
+  if (now - started_at_ < limits_.lease) return 0;
+  RefreshDirectory(now);
+  return (term_ << kDirectoryCountBits) + directory_count_;
+}
+
+const std::vector<DirectoryAgent>& LeaseTable::directory(Time now) {
+  RefreshDirectory(now);
+  return directory_;
+}
+
+void LeaseTable::RefreshDirectory(Time now) {
+  if (!directory_stale_) return;
+  directory_stale_ = false;
+  std::vector<DirectoryAgent> agents;
+  for (const auto& [process, holder] : holders_) {
+    const bool serves = !holder.last.server.empty() && IsLive(holder, now) &&
+                        rules_ != nullptr &&
+                        InventoryProblem(holder.last).empty();
+    if (serves) agents.push_back(AgentOf(holder.last));
+  }
+  const bool same = std::equal(agents.begin(), agents.end(), directory_.begin(),
+                               directory_.end(), SameAgent);
+  if (same && directory_built_) return;
+  directory_built_ = true;
+  directory_ = std::move(agents);
+  ++directory_count_;
+}
+
+std::string LeaseTable::InventoryProblem(const RenewLease& last) const {
+  if (rules_ == nullptr || last.server.empty()) return {};
+  const InventoryServer* expected = rules_->FindServer(last.server);
+  if (expected == nullptr) return "the inventory has no such engine";
+  if (expected->zone != last.zone) {
+    return "announced in availability zone " + last.zone.value() +
+           ", but the inventory has it in " + expected->zone.value();
+  }
+  for (const ServiceId& service : last.services) {
+    const auto& services = expected->services;
+    if (std::find(services.begin(), services.end(), service) ==
+        services.end()) {
+      return "announces service " + service.value() +
+             ", which the inventory does not list for it";
+    }
+  }
+  return {};
+}
+
+std::vector<ProcessStatus> LeaseTable::Status(Time now) const {
+  std::vector<ProcessStatus> list;
+  for (const auto& [process, holder] : holders_) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        holder.renewed_at + limits_.lease - now);
+    list.push_back({holder.last, std::max(left, std::chrono::milliseconds(0))});
+  }
+  return list;
+}
+
+std::vector<Finding> LeaseTable::FindingsAt(Time now) const {
+  std::vector<Finding> findings;
+  for (const auto& [process, holder] : holders_) {
+    if (!IsLive(holder, now)) continue;
+    std::string problem = InventoryProblem(holder.last);
+    if (problem.empty()) continue;
+    findings.push_back(
+        {"engine " + holder.last.server.value(), std::move(problem)});
+  }
+  for (const auto& [process, refusal] : refusals_) {
+    findings.push_back({"process " + process.value(), refusal.problem});
+  }
+  return findings;
+}
+
+}  // namespace coltsfootfork
