--- /dev/null
+++ b/src/shell/net/http_client.cc
@@ -0,0 +1,104 @@
+#include "shell/net/http_client.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
+
+// One request in flight. It keeps itself alive until the callback is made.
+class Fetch : public std::enable_shared_from_this<Fetch> {
+ public:
+  Fetch(boost::asio::io_context& io, std::function<void(HttpFetchResult)> done)
+      : stream_(io), done_(std::move(done)) {}
+
+  void Start(const boost::asio::ip::tcp::endpoint& server,
+             const HttpRequest& request, std::chrono::milliseconds timeout) {
+    message_.version(kHttp11);
+    message_.method_string(request.method);
+    message_.target(request.target);
+    message_.set(http::field::host, FormatEndpoint(server));
+    for (const HttpField& field : request.fields) {
+      message_.set(field.name, field.value);
+    }
+    message_.keep_alive(false);
+    message_.body() = request.body;
+    message_.prepare_payload();
+    parser_.body_limit(kMaxAnswerBytes);
+    stream_.expires_after(timeout);
+    stream_.async_connect(server,
+                          [self = shared_from_this()](error_code error) {
+                            self->OnConnected(error);
+                          });
+  }
+
+ private:
+  void OnConnected(error_code error) {
+    if (error) return Fail(error, /*never_sent=*/true);
+    http::async_write(
+        stream_, message_,
+        [self = shared_from_this()](error_code write_error, std::size_t) {
+          self->OnWritten(write_error);
+        });
+  }
+
+  void OnWritten(error_code error) {
+    if (error) return Fail(error, /*never_sent=*/false);
+    http::async_read(
+        stream_, buffer_, parser_,
+        [self = shared_from_this()](error_code read_error, std::size_t) {
+          self->OnRead(read_error);
+        });
+  }
+
+  void OnRead(error_code error) {
+    if (error) return Fail(error, /*never_sent=*/false);
+    auto message = parser_.release();
+    HttpResponse response;
+    response.status = static_cast<int>(message.result_int());
+    response.content_type = std::string(message[http::field::content_type]);
+    for (const auto& field : message) {
+      response.fields.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    response.body = std::move(message.body());
+    stream_.close();
+    done_({std::move(response), {}, false});
+  }
+
+  void Fail(error_code error, bool never_sent) {
+    stream_.close();
+    done_({std::nullopt, error.message(), never_sent});
+  }
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  http::request<http::string_body> message_;
+  http::response_parser<http::string_body> parser_;
+  std::function<void(HttpFetchResult)> done_;
+};
+
+}  // namespace
+
+void HttpFetch(boost::asio::io_context& io,
+               const boost::asio::ip::tcp::endpoint& server,
+               const HttpRequest& request, std::chrono::milliseconds timeout,
+               std::function<void(HttpFetchResult)> done) {
+  std::make_shared<Fetch>(io, std::move(done))->Start(server, request, timeout);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/net/http_server.cc
@@ -0,0 +1,58 @@
+#include "shell/net/http_server.h"
+
+#include <boost/beast/core/string.hpp>
+#include <utility>
+
+#include "shell/net/http_session.h"
+
+namespace coltsfootfork {
+
+std::string_view HttpRequest::Field(std::string_view name) const {
+  for (const HttpField& field : fields) {
+    if (boost::beast::iequals(
+            boost::beast::string_view(field.name),
+            boost::beast::string_view(name.data(), name.size()))) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+HttpServer::HttpServer(boost::asio::io_context& io,
+                       const boost::asio::ip::tcp::endpoint& listen,
+                       HttpLimits limits, Handler handler)
+    : io_(io),
+      acceptor_(io, listen, /*reuse_addr=*/true),
+      limits_(limits),
+      handler_(std::move(handler)) {
+  Accept();
+}
+
+HttpServer::~HttpServer() {
+  for (HttpSession* session : sessions_) session->Detach();
+}
+
+boost::asio::ip::tcp::endpoint HttpServer::local_endpoint() const {
+  return acceptor_.local_endpoint();
+}
+
+void HttpServer::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code error,
+                                boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (!error) {
+      std::make_shared<HttpSession>(this, std::move(socket))->Start();
+    }
+    if (!stopping_) Accept();
+  });
+}
+
+void HttpServer::Stop() {
+  stopping_ = true;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  const std::set<HttpSession*> sessions = sessions_;
+  for (HttpSession* session : sessions) session->CloseWhenIdle();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/net/http_session.cc
@@ -0,0 +1,228 @@
+#include "shell/net/http_session.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+#include <utility>
+
+namespace coltsfootfork {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+
+HttpRequest ToRequest(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+template <typename Message>
+std::string ToText(const Message& message) {
+  std::ostringstream out;
+  out << message;
+  return out.str();
+}
+
+}  // namespace
+
+HttpSession::HttpSession(HttpServer* server, asio::ip::tcp::socket socket)
+    : server_(server), stream_(std::move(socket)) {
+  error_code ignored;
+  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  server_->sessions_.insert(this);
+}
+
+HttpSession::~HttpSession() {
+  if (server_ != nullptr) server_->sessions_.erase(this);
+}
+
+void HttpSession::Start() { Read(); }
+
+void HttpSession::CloseWhenIdle() {
+  keep_alive_ = false;
+  if (state_ == State::kReading) Close();
+}
+
+void HttpSession::Read() {
+  if (server_ == nullptr) return Close();
+  state_ = State::kReading;
+  answer_whole_ = false;
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(server_->limits_.header_bytes));
+  parser_->body_limit(server_->limits_.body_bytes);
+  stream_.expires_after(server_->limits_.read_timeout);
+  http::async_read(stream_, buffer_, *parser_,
+                   [self = shared_from_this()](error_code error, std::size_t) {
+                     self->OnRead(error);
+                   });
+}
+
+void HttpSession::OnRead(error_code error) {
+  if (state_ == State::kClosed || server_ == nullptr) return Close();
+  if (error) return RespondToBadRequest(error);
+  stream_.expires_never();
+  state_ = State::kHandling;
+  keep_alive_ = keep_alive_ && parser_->keep_alive() && !server_->stopping_;
+  WatchForDisconnect();
+  server_->handler_(ToRequest(parser_->release()), shared_from_this());
+}
+
+void HttpSession::RespondToBadRequest(error_code error) {
+  int status = 0;
+  if (error == http::error::body_limit) {
+    status = 413;
+  } else if (error == http::error::header_limit) {
+    status = 431;
+  } else if (error.category() ==
+                 make_error_code(http::error::bad_method).category() &&
+             error != http::error::end_of_stream &&
+             error != http::error::partial_message) {
+    status = 400;
+  }
+  if (status == 0) return Close();
+  state_ = State::kHandling;
+  keep_alive_ = false;
+  Respond({status,
+           "application/problem+json",
+           {},
+           R"({"title":"The request could not be read","reason":"bad_request",)"
+           R"("not_run":true})"});
+}
+
+void HttpSession::WatchForDisconnect() {
+  stream_.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [weak = weak_from_this()](error_code error) {
+        const auto self = weak.lock();
+        if (!self || error) return;
+        const bool answering = self->state_ == State::kHandling ||
+                               self->state_ == State::kStreaming;
+        if (!answering || self->answer_whole_) return;
+        error_code ignored;
+        // Readable without bytes means that the caller has closed. Bytes are
+        // the next request, which is read after this answer.
+        if (self->stream_.socket().available(ignored) == 0) self->Gone();
+      });
+}
+
+void HttpSession::Respond(HttpResponse response) {
+  if (state_ != State::kHandling) return;
+  http::response<http::string_body> message;
+  message.version(kHttp11);
+  message.result(static_cast<unsigned>(response.status));
+  if (!response.content_type.empty()) {
+    message.set(http::field::content_type, response.content_type);
+  }
+  for (const HttpField& field : response.fields) {
+    message.set(field.name, field.value);
+  }
+  message.keep_alive(keep_alive_);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  answer_whole_ = true;
+  Queue(ToText(message));
+}
+
+void HttpSession::StartStream(int status, std::string_view content_type) {
+  if (state_ != State::kHandling) return;
+  state_ = State::kStreaming;
+  http::response<http::empty_body> header;
+  header.version(kHttp11);
+  header.result(static_cast<unsigned>(status));
+  header.set(
+      http::field::content_type,
+      boost::beast::string_view(content_type.data(), content_type.size()));
+  header.set(http::field::cache_control, "no-store");
+  header.keep_alive(keep_alive_);
+  header.chunked(true);
+  Queue(ToText(header.base()));
+}
+
+void HttpSession::WriteChunk(std::string_view bytes) {
+  if (state_ != State::kStreaming || bytes.empty()) return;
+  Queue(boost::beast::buffers_to_string(
+      http::make_chunk(asio::buffer(bytes.data(), bytes.size()))));
+}
+
+void HttpSession::FinishStream() {
+  if (state_ != State::kStreaming) return;
+  answer_whole_ = true;
+  Queue(boost::beast::buffers_to_string(http::make_chunk_last()));
+}
+
+void HttpSession::AbortStream() {
+  if (state_ != State::kStreaming) return;
+  // Without the last chunk the caller's library reports a cut-off body.
+  keep_alive_ = false;
+  answer_whole_ = true;
+  if (writes_.empty()) FinishAnswer();
+}
+
+void HttpSession::OnCallerGone(std::function<void()> handler) {
+  gone_handler_ = std::move(handler);
+}
+
+void HttpSession::Queue(std::string bytes) {
+  backlog_bytes_ += bytes.size();
+  writes_.push_back(std::move(bytes));
+  if (writes_.size() == 1) WriteNext();
+}
+
+void HttpSession::WriteNext() {
+  if (server_ != nullptr) stream_.expires_after(server_->limits_.write_timeout);
+  asio::async_write(stream_, asio::buffer(writes_.front()),
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      self->OnWritten(error);
+                    });
+}
+
+void HttpSession::OnWritten(error_code error) {
+  if (state_ == State::kClosed) return;
+  backlog_bytes_ -= writes_.front().size();
+  writes_.pop_front();
+  if (error) return Gone();
+  if (!writes_.empty()) return WriteNext();
+  stream_.expires_never();
+  if (answer_whole_) FinishAnswer();
+}
+
+void HttpSession::FinishAnswer() {
+  gone_handler_ = nullptr;
+  error_code ignored;
+  stream_.socket().cancel(ignored);
+  if (!keep_alive_) return Close();
+  Read();
+}
+
+void HttpSession::Gone() {
+  std::function<void()> handler = std::move(gone_handler_);
+  gone_handler_ = nullptr;
+  Close();
+  if (handler) handler();
+}
+
+void HttpSession::Close() {
+  if (state_ == State::kClosed) return;
+  state_ = State::kClosed;
+  error_code ignored;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream_.close();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/wire/variant_codec.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace coltsfootfork {
+
+// The names of a variant's alternatives in their JSON form, in order.
+// Specialised for each variant that has one.
+template <typename Variant>
+struct VariantNames;
+
+// The JSON form of a variant: {"kind": NAME, "body": {...}}.
+template <typename Variant>
+nlohmann::json VariantToJson(const Variant& value) {
+  nlohmann::json j;
+  j["kind"] = VariantNames<Variant>::kNames.at(value.index());
+  std::visit([&j](const auto& message) { j["body"] = message; }, value);
+  return j;
+}
+
+namespace internal {
+
+template <typename Variant, std::size_t I = 0>
+std::optional<Variant> VariantFromNamedJson(std::string_view kind,
+                                            const nlohmann::json& body) {
+  if constexpr (I < std::variant_size_v<Variant>) {
+    if (VariantNames<Variant>::kNames.at(I) == kind) {
+      return Variant(std::in_place_index<I>,
+                     body.get<std::variant_alternative_t<I, Variant>>());
+    }
+    return VariantFromNamedJson<Variant, I + 1>(kind, body);
+  } else {
+    return std::nullopt;
+  }
+}
+
+}  // namespace internal
+
+// Reads a variant from its JSON form. Nothing for a kind that is not known.
+// Throws nlohmann::json::exception where a field has the wrong type.
+template <typename Variant>
+std::optional<Variant> VariantFromJson(const nlohmann::json& j) {
+  const auto& kind = j.at("kind").get_ref<const std::string&>();
+  return internal::VariantFromNamedJson<Variant>(kind, j.at("body"));
+}
+
+}  // namespace coltsfootfork
