--- /dev/null
+++ b/src/shell/log/event.cc
@@ -0,0 +1,106 @@
+#include "shell/log/event.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+constexpr char kLoggerName[] = "coltsfootfork";
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+    case LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kDebug:
+      break;
+  }
+  return log4cplus::DEBUG_LOG_LEVEL;
+}
+
+// Values with spaces or quotes are quoted, so that a line can be split again.
+std::string QuotedWhereNeeded(const std::string& value) {
+  if (!value.empty() &&
+      value.find_first_of(" \"=\n\r\t\\") == std::string::npos) {
+    return value;
+  }
+  return nlohmann::json(value).dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::initializer_list<EventInfo> AllEvents() {
+  static constexpr std::initializer_list<EventInfo> kEvents = {
+      {Event::kStarted, "started"},
+      {Event::kListening, "listening"},
+      {Event::kStopping, "stopping"},
+      {Event::kStopped, "stopped"},
+      {Event::kSettingsRefused, "settings_refused"},
+      {Event::kLinkUp, "link_up"},
+      {Event::kLinkDown, "link_down"},
+      {Event::kLinkRefused, "link_refused"},
+      {Event::kConfigurationInForce, "configuration_in_force"},
+      {Event::kConfigurationRefused, "configuration_refused"},
+      {Event::kConfigurationUnconfirmed, "configuration_unconfirmed"},
+      {Event::kInventoryMismatch, "inventory_mismatch"},
+      {Event::kServerAnnounced, "server_announced"},
+      {Event::kServerLost, "server_lost"},
+      {Event::kServerDraining, "server_draining"},
+      {Event::kRequestRefused, "request_refused"},
+      {Event::kRequestIncomplete, "request_incomplete"},
+      {Event::kBecameLeader, "became_leader"},
+      {Event::kLostLeadership, "lost_leadership"},
+      {Event::kReplicaFailed, "replica_failed"},
+      {Event::kStorageFailed, "storage_failed"},
+      {Event::kSnapshotTaken, "snapshot_taken"},
+  };
+  return kEvents;
+}
+
+std::string_view EventName(Event event) {
+  for (const EventInfo& info : AllEvents()) {
+    if (info.event == event) return info.name;
+  }
+  return "unknown";
+}
+
+void StartLog(LogLevel lowest) {
+  log4cplus::initialize();
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                     /*immediateFlush=*/true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n")));
+  log4cplus::Logger logger =
+      log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(kLoggerName));
+  logger.addAppender(appender);
+  logger.setLogLevel(ToLibraryLevel(lowest));
+}
+
+void Log(LogLevel level, Event event,
+              std::initializer_list<EventField> fields) {
+  std::string line = std::to_string(static_cast<int>(event));
+  line += ' ';
+  line += EventName(event);
+  for (const EventField& field : fields) {
+    line += ' ';
+    line += field.name;
+    line += '=';
+    line += QuotedWhereNeeded(field.value);
+  }
+  log4cplus::Logger logger =
+      log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(kLoggerName));
+  logger.log(ToLibraryLevel(level), line);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/log/event.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace coltsfootfork {
+
+// The numbered events that a process logs. docs/events.md says what each one
+// means and what the operator does.
+enum class Event : std::uint16_t {
+  kStarted = 1001,
+  kListening = 1002,
+  kStopping = 1003,
+  kStopped = 1004,
+  kSettingsRefused = 1005,
+  kLinkUp = 2001,
+  kLinkDown = 2002,
+  kLinkRefused = 2003,
+  kConfigurationInForce = 3001,
+  kConfigurationRefused = 3002,
+  kConfigurationUnconfirmed = 3003,
+  kInventoryMismatch = 3004,
+  kServerAnnounced = 4001,
+  kServerLost = 4002,
+  kServerDraining = 4003,
+  kRequestRefused = 5001,
+  kRequestIncomplete = 5002,
+  kBecameLeader = 6001,
+  kLostLeadership = 6002,
+  kReplicaFailed = 6003,
+  kStorageFailed = 6004,
+  kSnapshotTaken = 6005,
+};
+
+// One named value of an event's line.
+struct EventField {
+  std::string_view name;
+  std::string value;
+};
+
+// Every event, in order of number.
+struct EventInfo {
+  Event event;
+  std::string_view name;
+};
+std::initializer_list<EventInfo> AllEvents();
+
+// The event's name: snake case, as in docs/events.md.
+std::string_view EventName(Event event);
+
+enum class LogLevel { kError, kWarning, kInfo, kDebug };
+
+// Opens the log on standard error. Call once, before the first Log.
+void StartLog(LogLevel lowest);
+
+// Writes one line: number, name and the fields as NAME=VALUE.
+void Log(LogLevel level, Event event,
+              std::initializer_list<EventField> fields);
+
+}  // namespace coltsfootfork
--- a/src/shell/net/peer_link.h
+++ b/src/shell/net/peer_link.h
@@ -54,6 +54,8 @@
   bool up() const { return up_; }
   const ProcessId& peer() const { return handshake_.peer(); }
   std::size_t backlog_bytes() const;
+  // To see when a closed link has sent its last frame.
+  std::weak_ptr<LinkConnection> connection() const { return connection_; }
 
   PeerLink(boost::asio::io_context& io, LinkSide side,
            const PeerIdentity& identity, PeerEvents events);
--- /dev/null
+++ b/src/shell/process/agent_role.cc
@@ -0,0 +1,114 @@
+#include "shell/process/agent_role.h"
+
+#include <utility>
+
+#include "shell/log/event.h"
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+AgentOptions MakeOptions(const Settings& settings) {
+  AgentOptions options;
+  options.process = settings.process;
+  options.zone = settings.zone;
+  return options;
+}
+
+HttpEngineAdapterOptions MakeAdapterOptions(const Settings& settings) {
+  const auto listen = ParseEndpoint(settings.agent->engine_listen).value();
+  HttpEngineAdapterOptions options;
+  options.listen_ip = listen.address().to_string();
+  options.listen_port = listen.port();
+  return options;
+}
+
+}  // namespace
+
+AgentRole::AgentRole(ProcessContext& context, std::uint64_t seed)
+    : context_(context),
+      core_(MakeOptions(context.settings), seed),
+      adapter_(
+          context.io, MakeAdapterOptions(context.settings),
+          [this](EngineToAgent message) {
+            OnEngineMessage(std::move(message));
+          },
+          [](const Finding& finding) {
+            Log(LogLevel::kWarning, Event::kInventoryMismatch,
+                {{"place", finding.place}, {"problem", finding.problem}});
+          }) {}
+
+void AgentRole::OnEntryUp(const ProcessId& entry) { Input(EntryUp{entry}); }
+
+void AgentRole::OnEntryDown(const ProcessId& entry) { Input(EntryDown{entry}); }
+
+void AgentRole::OnEntryMessage(const ProcessId& entry, EntryToAgent message) {
+  Input(EntryMessage{entry, std::move(message)});
+}
+
+void AgentRole::OnConfiguration(
+    std::shared_ptr<const Configuration> configuration) {
+  Input(ConfigurationInForce{std::move(configuration)});
+}
+
+void AgentRole::Tick(Time now) { CarryOut(core_.Tick(now)); }
+
+void AgentRole::Stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  Input(StopRequested{});
+}
+
+void AgentRole::DescribeServer(RenewLease& renewal) const {
+  renewal.server = server_.server;
+  renewal.services = server_.services;
+  renewal.server_incarnation = server_.incarnation;
+  renewal.draining = stopping_ || server_.leaving;
+}
+
+void AgentRole::OnEngineMessage(EngineToAgent message) {
+  if (const auto* announced = std::get_if<EngineAnnounced>(&message)) {
+    if (announced->server != server_.server ||
+        announced->incarnation != server_.incarnation) {
+      Log(LogLevel::kInfo, Event::kServerAnnounced,
+          {{"server", announced->server.value()},
+           {"incarnation", std::to_string(announced->incarnation)}});
+    }
+    if (announced->leaving && !server_.leaving) {
+      Log(LogLevel::kInfo, Event::kServerDraining,
+          {{"server", announced->server.value()}});
+    }
+    server_ = *announced;
+  }
+  Input(EngineMessage{std::move(message)});
+}
+
+void AgentRole::Input(const AgentInput& input) {
+  CarryOut(core_.Handle(input, MonotonicNow()));
+}
+
+void AgentRole::CarryOut(std::vector<AgentEffect> effects) {
+  for (const AgentEffect& effect : effects) {
+    std::visit([this](const auto& one) { CarryOut(one); }, effect);
+  }
+}
+
+void AgentRole::CarryOut(const SendToEntry& effect) {
+  context_.hub.Send(effect.entry, LinkDirection::kIncoming, effect.message);
+}
+
+void AgentRole::CarryOut(const SendToEngine& effect) {
+  adapter_.Send(effect.message);
+}
+
+void AgentRole::CarryOut(const OrderSettled& effect) {
+  if (effect.result.applied) return;
+  Log(LogLevel::kWarning, Event::kServerLost,
+      {{"server", server_.server.value()}, {"problem", effect.result.problem}});
+}
+
+void AgentRole::CarryOut(const CountReason& effect) {
+  context_.metrics.Count(effect.reason, effect.rank, effect.service);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/agent_role.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/adapters/http_engine_adapter.h"
+#include "coltsfootfork/core/messages/agent_io.h"
+#include "coltsfootfork/core/scheduling/agent_core.h"
+#include "shell/process/process_context.h"
+
+namespace coltsfootfork {
+
+// The agent role: stands between the entries and one backend server, hands
+// what both say to the decision core and carries its effects out.
+class AgentRole {
+ public:
+  // Listens for the backend server at once; throws
+  // boost::system::system_error when it cannot.
+  AgentRole(ProcessContext& context, std::uint64_t seed);
+
+  std::string engine_address() const { return adapter_.listen_address(); }
+
+  void OnEntryUp(const ProcessId& entry);
+  void OnEntryDown(const ProcessId& entry);
+  void OnEntryMessage(const ProcessId& entry, EntryToAgent message);
+  void OnConfiguration(std::shared_ptr<const Configuration> configuration);
+  void Tick(Time now);
+
+  // Refuses new work; running work goes on.
+  void Stop();
+  bool Drained() const { return core_.Drained(); }
+  std::optional<Time> NextDeadline() const { return core_.NextDeadline(); }
+
+  // Fills in what the lease renewal tells of the backend server.
+  void DescribeServer(RenewLease& renewal) const;
+
+ private:
+  void Input(const AgentInput& input);
+  void CarryOut(std::vector<AgentEffect> effects);
+  void CarryOut(const SendToEntry& effect);
+  void CarryOut(const SendToEngine& effect);
+  void CarryOut(const OrderSettled& effect);
+  void CarryOut(const CountReason& effect);
+  void OnEngineMessage(EngineToAgent message);
+
+  ProcessContext& context_;
+  AgentCore core_;
+  EngineAnnounced server_;
+  bool stopping_ = false;
+  HttpEngineAdapter adapter_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/caller_answer.cc
@@ -0,0 +1,104 @@
+#include "shell/process/caller_answer.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace coltsfootfork {
+namespace {
+
+using nlohmann::json;
+
+std::string Dump(const json& document) {
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string Event(const std::string& data) { return "data: " + data + "\n\n"; }
+
+json FinishValue(const std::string& finish_reason) {
+  return finish_reason.empty() ? json(nullptr) : json(finish_reason);
+}
+
+}  // namespace
+
+CallerAnswer::CallerAnswer(std::shared_ptr<HttpExchange> exchange,
+                           AnswerForm form, bool stream, RequestId request,
+                           ServiceId service)
+    : exchange_(std::move(exchange)),
+      form_(form),
+      stream_(stream),
+      request_(std::move(request)),
+      service_(std::move(service)) {}
+
+void CallerAnswer::Token(const std::string& text) {
+  ++tokens_;
+  if (!stream_) {
+    text_ += text;
+    return;
+  }
+  StartStream();
+  exchange_->WriteChunk(Event(EventText(text, "")));
+}
+
+void CallerAnswer::End(const std::string& finish_reason,
+                       std::uint32_t prompt_tokens,
+                       std::uint32_t token_count) {
+  if (stream_) {
+    StartStream();
+    exchange_->WriteChunk(Event(EventText("", finish_reason)) +
+                          Event("[DONE]"));
+    exchange_->FinishStream();
+    return;
+  }
+  const bool chat = form_ == AnswerForm::kChatCompletion;
+  json choice = {{"index", 0}, {"finish_reason", FinishValue(finish_reason)}};
+  if (chat) {
+    choice["message"] = {{"role", "assistant"}, {"content", text_}};
+  } else {
+    choice["text"] = text_;
+  }
+  const json document = {
+      {"id", request_.value()},
+      {"object", chat ? "chat.completion" : "text_completion"},
+      {"model", service_.value()},
+      {"choices", json::array({choice})},
+      {"usage",
+       {{"prompt_tokens", prompt_tokens},
+        {"completion_tokens", token_count},
+        {"total_tokens", prompt_tokens + token_count}}}};
+  exchange_->Respond({200, "application/json", {}, Dump(document)});
+}
+
+void CallerAnswer::Whole(const StoredAnswer& answer) {
+  exchange_->Respond({answer.status, answer.content_type, {}, answer.body});
+}
+
+void CallerAnswer::Fail(const Problem& problem) {
+  if (!started_) return exchange_->Respond(ProblemResponse(problem));
+  // The status is sent long since: the last event says that this is no end.
+  exchange_->WriteChunk("event: error\n" +
+                        Event("{\"error\":" + ProblemText(problem) + "}"));
+  exchange_->FinishStream();
+}
+
+std::string CallerAnswer::EventText(const std::string& text,
+                                    const std::string& finish_reason) const {
+  const bool chat = form_ == AnswerForm::kChatCompletion;
+  json choice = {{"index", 0}, {"finish_reason", FinishValue(finish_reason)}};
+  if (chat) {
+    choice["delta"] = text.empty() ? json::object() : json{{"content", text}};
+  } else {
+    choice["text"] = text;
+  }
+  return Dump({{"id", request_.value()},
+               {"object", chat ? "chat.completion.chunk" : "text_completion"},
+               {"model", service_.value()},
+               {"choices", json::array({choice})}});
+}
+
+void CallerAnswer::StartStream() {
+  if (started_) return;
+  started_ = true;
+  exchange_->StartStream(200, "text/event-stream");
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/caller_answer.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "coltsfootfork/core/messages/control_messages.h"
+#include "coltsfootfork/core/types/ids.h"
+#include "shell/net/http_server.h"
+#include "shell/process/caller_request_reader.h"
+#include "shell/process/problem.h"
+
+namespace coltsfootfork {
+
+// Writes one caller's answer in the form that was asked for: a stream of
+// events, one JSON document, or a plain service's own answer.
+class CallerAnswer {
+ public:
+  CallerAnswer(std::shared_ptr<HttpExchange> exchange, AnswerForm form,
+               bool stream, RequestId request, ServiceId service);
+
+  void Token(const std::string& text);
+  void End(const std::string& finish_reason, std::uint32_t prompt_tokens,
+           std::uint32_t token_count);
+  void Whole(const StoredAnswer& answer);
+  void Fail(const Problem& problem);
+
+  std::size_t backlog_bytes() const { return exchange_->backlog_bytes(); }
+  std::uint32_t tokens() const { return tokens_; }
+
+ private:
+  std::string EventText(const std::string& text,
+                        const std::string& finish_reason) const;
+  void StartStream();
+
+  std::shared_ptr<HttpExchange> exchange_;
+  AnswerForm form_;
+  bool stream_;
+  RequestId request_;
+  ServiceId service_;
+  bool started_ = false;
+  std::uint32_t tokens_ = 0;
+  // The text so far of an answer that is not streamed.
+  std::string text_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/entry_role.cc
@@ -0,0 +1,259 @@
+#include "shell/process/entry_role.h"
+
+#include <utility>
+
+#include "coltsfootfork/core/stream/stored_generation.h"
+#include "shell/log/event.h"
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+// How long the control replicas may take to answer a claim.
+constexpr std::chrono::milliseconds kClaimTimeout{2500};
+// How long the end of a claimed request is offered to the control replicas.
+constexpr std::chrono::milliseconds kSettleTimeout{60000};
+constexpr std::chrono::milliseconds kUnconfirmedRetryAfter{1000};
+// A change of backlog below this is not worth telling the core.
+constexpr std::uint64_t kBacklogStepBytes = 4096;
+
+EntryOptions MakeOptions(const Settings& settings) {
+  EntryOptions options;
+  options.process = settings.process;
+  options.zone = settings.zone;
+  return options;
+}
+
+std::string_view BearerKey(const HttpRequest& http) {
+  std::string_view value = http.Field("Authorization");
+  if (value.substr(0, kBearer.size()) != kBearer) return {};
+  return value.substr(kBearer.size());
+}
+
+}  // namespace
+
+EntryRole::EntryRole(ProcessContext& context, std::uint64_t seed)
+    : context_(context),
+      core_(MakeOptions(context.settings), seed),
+      request_prefix_(context.settings.process.value() + "-" +
+                      std::to_string(seed) + "-"),
+      server_(context.io, ParseEndpoint(context.settings.entry->listen).value(),
+              HttpLimits{},
+              [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
+                OnRequest(std::move(http), std::move(exchange));
+              }) {}
+
+void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
+
+void EntryRole::OnAgentDown(const ProcessId& agent) { Input(AgentDown{agent}); }
+
+void EntryRole::OnAgentMessage(const ProcessId& agent, AgentToEntry message) {
+  Input(AgentMessage{agent, std::move(message)});
+}
+
+void EntryRole::OnConfiguration(
+    std::shared_ptr<const Configuration> configuration) {
+  Input(ConfigurationInForce{std::move(configuration)});
+}
+
+void EntryRole::OnDirectory(const std::vector<DirectoryAgent>& directory) {
+  std::set<ProcessId> listed;
+  for (const DirectoryAgent& agent : directory) {
+    listed.insert(agent.process);
+    agents_.insert(agent.process);
+    context_.hub.Keep(agent.process, agent.address);
+  }
+  Input(DirectoryChanged{directory});
+  for (auto it = agents_.begin(); it != agents_.end();) {
+    if (listed.count(*it) > 0) {
+      ++it;
+      continue;
+    }
+    // A link that still carries streams ends with them, by the agent's hand.
+    it = agents_.erase(it);
+  }
+}
+
+void EntryRole::Tick(Time now) {
+  ReportBacklogs();
+  CarryOut(core_.Tick(now));
+}
+
+void EntryRole::Stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  Input(StopRequested{});
+}
+
+bool EntryRole::Drained() const {
+  return core_.Drained() && callers_.empty() && open_settles_ == 0;
+}
+
+void EntryRole::OnRequest(HttpRequest http,
+                          std::shared_ptr<HttpExchange> exchange) {
+  const auto& rules = context_.follower.rules();
+  if (!rules) {
+    return Refuse(*exchange, Reason::kNotConfigured,
+                  "no configuration is in force yet", kUnconfirmedRetryAfter);
+  }
+  const Workspace* workspace = rules->FindWorkspaceByKey(BearerKey(http));
+  if (workspace == nullptr) {
+    return Refuse(*exchange, Reason::kUnauthenticated,
+                  "the bearer key is no workspace's", {});
+  }
+  CallerReading reading = ReadCaller(http);
+  if (!reading.read) {
+    return Refuse(*exchange, Reason::kBadRequest, std::move(reading.problem),
+                  {});
+  }
+  reading.read->request.workspace = workspace->id;
+  Admit(std::move(*reading.read), std::move(exchange));
+}
+
+void EntryRole::Admit(ReadCallerRequest read,
+                      std::shared_ptr<HttpExchange> exchange) {
+  const Time now = MonotonicNow();
+  CallerRequest& request = read.request;
+  const ServingRules& rules = *context_.follower.rules();
+  const Service* service = rules.FindService(request.service);
+  if (service == nullptr || service->kind != request.kind) {
+    return Refuse(*exchange, Reason::kUnknownService,
+                  "the inventory has no such service of this kind", {});
+  }
+  if (const auto reason = context_.follower.RefusalReason(now)) {
+    return Refuse(*exchange, *reason, "the configuration is not confirmed",
+                  kUnconfirmedRetryAfter);
+  }
+  request.request = NextRequestId();
+  exchange->OnCallerGone([this, id = request.request] {
+    callers_.erase(id);
+    Input(CallerGone{id});
+  });
+  callers_.emplace(
+      request.request,
+      Caller{CallerAnswer(std::move(exchange), read.form, request.stream,
+                          request.request, request.service),
+             rules.RankOf(request.workspace, request.service), request.service,
+             request.prompt_tokens, now, std::nullopt, 0});
+  Input(std::move(request));
+}
+
+void EntryRole::Refuse(HttpExchange& exchange, Reason reason,
+                       std::string detail,
+                       std::chrono::milliseconds retry_after) {
+  CarryOut(CountReason{reason, Rank::kDeferrable, {}});
+  exchange.Respond(
+      ProblemResponse({reason, true, retry_after, std::move(detail)}));
+}
+
+RequestId EntryRole::NextRequestId() {
+  return RequestId(request_prefix_ + std::to_string(next_request_++));
+}
+
+void EntryRole::Input(const EntryInput& input) {
+  CarryOut(core_.Handle(input, MonotonicNow()));
+}
+
+void EntryRole::CarryOut(std::vector<EntryEffect> effects) {
+  for (const EntryEffect& effect : effects) {
+    std::visit([this](const auto& one) { CarryOut(one); }, effect);
+  }
+}
+
+void EntryRole::CarryOut(const SendToAgent& effect) {
+  context_.hub.Send(effect.agent, LinkDirection::kOutgoing, effect.message);
+}
+
+void EntryRole::CarryOut(const DeliverToken& effect) {
+  const auto found = callers_.find(effect.request);
+  if (found == callers_.end()) return;
+  Caller& caller = found->second;
+  const Time now = MonotonicNow();
+  if (caller.last_token) {
+    context_.metrics.ObserveTokenGap(caller.rank, caller.service,
+                                     now - *caller.last_token);
+  } else {
+    context_.metrics.ObserveFirstToken(caller.rank, caller.service,
+                                       now - caller.arrived);
+  }
+  caller.last_token = now;
+  caller.answer.Token(effect.text);
+}
+
+void EntryRole::CarryOut(const DeliverEnd& effect) {
+  auto node = callers_.extract(effect.request);
+  if (node.empty()) return;
+  Caller& caller = node.mapped();
+  caller.answer.End(effect.finish_reason, caller.prompt_tokens,
+                    effect.token_count);
+}
+
+void EntryRole::CarryOut(const DeliverAnswer& effect) {
+  auto node = callers_.extract(effect.request);
+  if (node.empty()) return;
+  Caller& caller = node.mapped();
+  const auto generation = UnpackGeneration(effect.answer);
+  if (!generation) return caller.answer.Whole(effect.answer);
+  caller.answer.Token(generation->text);
+  caller.answer.End(generation->finish_reason, caller.prompt_tokens,
+                    generation->token_count);
+}
+
+void EntryRole::CarryOut(const DeliverProblem& effect) {
+  auto node = callers_.extract(effect.request);
+  if (node.empty()) return;
+  Caller& caller = node.mapped();
+  Log(LogLevel::kDebug,
+      caller.answer.tokens() > 0 ? Event::kRequestIncomplete
+                                 : Event::kRequestRefused,
+      {{"request", effect.request.value()},
+       {"reason", std::string(ReasonName(effect.reason))}});
+  caller.answer.Fail(
+      {effect.reason, effect.not_run, effect.retry_after, std::string()});
+}
+
+void EntryRole::CarryOut(const AskClaim& effect) {
+  context_.control.Call(
+      effect.claim, kClaimTimeout,
+      [this, request = effect.request](std::optional<ControlReply> reply) {
+        ClaimBeginReply answer;
+        if (reply) {
+          if (const auto* begun = std::get_if<ClaimBeginReply>(&*reply)) {
+            answer = *begun;
+          }
+        }
+        Input(ClaimAnswered{request, std::move(answer)});
+      },
+      MonotonicNow());
+}
+
+void EntryRole::CarryOut(const SettleClaim& effect) {
+  ++open_settles_;
+  context_.control.Call(
+      effect.claim, kSettleTimeout,
+      [this](const std::optional<ControlReply>&) { --open_settles_; },
+      MonotonicNow());
+}
+
+void EntryRole::CarryOut(const CountReason& effect) {
+  context_.metrics.Count(effect.reason, effect.rank, effect.service);
+}
+
+void EntryRole::ReportBacklogs() {
+  // Collected first, since the core's effects may remove callers.
+  std::vector<CallerBacklog> changed;
+  for (auto& [request, caller] : callers_) {
+    const std::uint64_t backlog = caller.answer.backlog_bytes();
+    const std::uint64_t before = caller.reported_backlog;
+    const std::uint64_t step =
+        backlog > before ? backlog - before : before - backlog;
+    const bool emptied = backlog == 0 && before > 0;
+    if (step < kBacklogStepBytes && !emptied) continue;
+    caller.reported_backlog = backlog;
+    changed.push_back({request, backlog});
+  }
+  for (const CallerBacklog& backlog : changed) Input(backlog);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/entry_role.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/core/messages/entry_io.h"
+#include "coltsfootfork/core/routing/entry_core.h"
+#include "shell/net/http_server.h"
+#include "shell/process/caller_answer.h"
+#include "shell/process/process_context.h"
+
+namespace coltsfootfork {
+
+// The entry role: takes callers' requests over HTTP, hands them to the
+// decision core and carries its effects out.
+class EntryRole {
+ public:
+  // Listens at once; throws boost::system::system_error when it cannot.
+  // The seed makes request ids of different starts differ.
+  EntryRole(ProcessContext& context, std::uint64_t seed);
+
+  boost::asio::ip::tcp::endpoint local_endpoint() const {
+    return server_.local_endpoint();
+  }
+
+  void OnAgentUp(const ProcessId& agent);
+  void OnAgentDown(const ProcessId& agent);
+  void OnAgentMessage(const ProcessId& agent, AgentToEntry message);
+  void OnConfiguration(std::shared_ptr<const Configuration> configuration);
+  void OnDirectory(const std::vector<DirectoryAgent>& directory);
+  void Tick(Time now);
+
+  // Refuses new requests; running ones go on.
+  void Stop();
+  // Nothing of a caller is left open.
+  bool Drained() const;
+  std::optional<Time> NextDeadline() const { return core_.NextDeadline(); }
+  // Closes the callers' connections once their answers are written.
+  void CloseCallers() { server_.Stop(); }
+  bool Flushed() const { return server_.open_connections() == 0; }
+
+ private:
+  // One caller's request until its answer is whole.
+  struct Caller {
+    CallerAnswer answer;
+    Rank rank = Rank::kDeferrable;
+    ServiceId service;
+    std::uint32_t prompt_tokens = 0;
+    Time arrived;
+    std::optional<Time> last_token;
+    std::uint64_t reported_backlog = 0;
+  };
+
+  void OnRequest(HttpRequest http, std::shared_ptr<HttpExchange> exchange);
+  void Admit(ReadCallerRequest read, std::shared_ptr<HttpExchange> exchange);
+  void Refuse(HttpExchange& exchange, Reason reason, std::string detail,
+              std::chrono::milliseconds retry_after);
+  RequestId NextRequestId();
+
+  void Input(const EntryInput& input);
+  void CarryOut(std::vector<EntryEffect> effects);
+  void CarryOut(const SendToAgent& effect);
+  void CarryOut(const DeliverToken& effect);
+  void CarryOut(const DeliverEnd& effect);
+  void CarryOut(const DeliverAnswer& effect);
+  void CarryOut(const DeliverProblem& effect);
+  void CarryOut(const AskClaim& effect);
+  void CarryOut(const SettleClaim& effect);
+  void CarryOut(const CountReason& effect);
+  // Tells the core how far each slow caller lies behind.
+  void ReportBacklogs();
+
+  ProcessContext& context_;
+  EntryCore core_;
+  std::string request_prefix_;
+  std::uint64_t next_request_ = 1;
+  std::map<RequestId, Caller> callers_;
+  // Agents that the directory lists.
+  std::set<ProcessId> agents_;
+  std::uint32_t open_settles_ = 0;
+  bool stopping_ = false;
+  HttpServer server_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/process_context.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include "coltsfootfork/core/configuration/configuration_follower.h"
+#include "coltsfootfork/core/metrics/metrics_registry.h"
+#include "coltsfootfork/core/types/time.h"
+#include "shell/process/control_client.h"
+#include "shell/process/peer_hub.h"
+#include "shell/process/settings.h"
+
+namespace coltsfootfork {
+
+// What the roles of one process share. The process owns all of it and outlives
+// its roles.
+struct ProcessContext {
+  boost::asio::io_context& io;
+  const Settings& settings;
+  PeerHub& hub;
+  ControlClient& control;
+  ConfigurationFollower& follower;
+  MetricsRegistry& metrics;
+};
+
+// The monotonic clock, read. Only the shell reads it.
+Time MonotonicNow();
+
+}  // namespace coltsfootfork
--- a/src/wire/envelope.cc
+++ b/src/wire/envelope.cc
@@ -35,10 +35,15 @@
   call.request = Text(j.at("request"));
 }
 void to_json(json& j, const ControlAnswer& answer) {
-  j = json{{"call", answer.call}, {"reply", Binary(answer.reply)}};
+  j = json{{"call", answer.call},
+           {"acting", answer.acting},
+           {"leader", answer.leader},
+           {"reply", Binary(answer.reply)}};
 }
 void from_json(const json& j, ControlAnswer& answer) {
   j.at("call").get_to(answer.call);
+  j.at("acting").get_to(answer.acting);
+  j.at("leader").get_to(answer.leader);
   answer.reply = Text(j.at("reply"));
 }
 void to_json(json& j, const ReplicaFrame& frame) {
--- a/src/wire/envelope.h
+++ b/src/wire/envelope.h
@@ -33,6 +33,10 @@
 
 struct ControlAnswer {
   std::uint64_t call = 0;
+  // The replica holds the lease; if not, the reply says nothing.
+  bool acting = false;
+  // The leader as far as the replica knows; may be empty.
+  ProcessId leader;
   std::string reply;
 };
 
