routing: Add the entry's decision core and its stream life cycle

An entry needs to pick a backend server, deliver tokens once and in order from one generation, and say truly whether a request that failed has run.

EntryCore takes typed inputs and returns typed effects. A request counts as not run only when every hand-over was proved not to have run, so the count of unproved hand-overs decides and no flag that a later refusal could overwrite. A begun stream never gets a second generation: StreamSequencer refuses it, and a resume goes to the same server. A claim whose caller gave up is kept until its answer comes, so that the key is not left taken by a request that never ran.

Whole generations are stored under a claim as JSON with their text, which lets a resend be answered as a stream or as a whole.

--- /dev/null
+++ b/src/core/routing/agent_events.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "core/routing/entry_state.h"
+
+// What agents and the directory tell, and what follows for open requests.
+namespace coltsfootfork {
+
+void OnAgentUp(EntryState* state, const ProcessId& agent, Time now);
+void OnAgentDown(EntryState* state, const ProcessId& agent, Time now);
+void OnAgentMessage(EntryState* state, const AgentMessage& message, Time now);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/caller_events.cc
@@ -0,0 +1,45 @@
+#include "core/routing/caller_events.h"
+
+#include <algorithm>
+
+#include "core/routing/request_ending.h"
+
+namespace coltsfootfork {
+
+void OnCallerGone(EntryState* state, const CallerGone& gone, Time now) {
+  RequestRow* row = state->requests.Find(gone.request);
+  if (row == nullptr || row->caller.gone) return;
+  Count(state, *row, Reason::kCallerGone);
+  // A resend under the key will ask for the answer, and a cancel could only
+  // make it unknown.
+  if (row->at_most_once && row->claim == ClaimStage::kHeld &&
+      row->server.has_value()) {
+    MarkCallerGone(state, row);
+    return;
+  }
+  EndWithoutCaller(state, row, now);
+}
+
+void OnCallerBacklog(EntryState* state, const CallerBacklog& backlog,
+                     Time now) {
+  RequestRow* row = state->requests.Find(backlog.request);
+  if (row == nullptr || row->caller.gone) return;
+  const RetryOptions& options = state->options.retry;
+  CallerState& caller = row->caller;
+  if (backlog.bytes > options.caller_buffer_bytes) {
+    CancelAtAgent(state, *row);
+    EndWithProblem(state, row, Reason::kSlowCaller,
+                   std::chrono::milliseconds{0}, now);
+    return;
+  }
+  const bool idle = caller.backlog_bytes == 0;
+  const bool shrunk = backlog.bytes < caller.backlog_bytes;
+  caller.backlog_bytes = backlog.bytes;
+  if (backlog.bytes == 0) {
+    state->requests.SetCallerStall(row, Time::max());
+  } else if (idle || shrunk) {
+    state->requests.SetCallerStall(row, now + options.caller_stall);
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/caller_events.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "core/routing/entry_state.h"
+
+// What a caller's connection tells about a request that is open.
+namespace coltsfootfork {
+
+void OnCallerGone(EntryState* state, const CallerGone& gone, Time now);
+void OnCallerBacklog(EntryState* state, const CallerBacklog& backlog, Time now);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/deadline_system.cc
@@ -0,0 +1,106 @@
+#include "core/routing/deadline_system.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "core/routing/request_dispatch.h"
+#include "core/routing/request_ending.h"
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+void OnSlowCaller(EntryState* state, RequestRow* row, Time now) {
+  CancelAtAgent(state, *row);
+  EndWithProblem(state, row, Reason::kSlowCaller, milliseconds{0}, now);
+}
+
+void OnClaimOverdue(EntryState* state, RequestRow* row, Time now) {
+  const milliseconds retry_after = state->options.retry.default_retry_after;
+  if (!row->caller.gone) {
+    EndWithProblem(state, row, Reason::kNoQuorum, retry_after, now);
+    return;
+  }
+  // Given up for good: should the claim be committed, it is settled as not
+  // run, which is what it is.
+  row->claim = ClaimStage::kHeld;
+  EndWithoutCaller(state, row, now);
+}
+
+void OnNoServerInTime(EntryState* state, RequestRow* row, Time now) {
+  const Reason reason = row->last_failure == Reason::kNone ? Reason::kNoServer
+                                                           : row->last_failure;
+  EndWithProblem(state, row, reason, state->options.retry.default_retry_after,
+                 now);
+}
+
+// When a handed-over request must have shown something.
+Time FirstSignBy(const RetryOptions& options, const RequestRow& row) {
+  const milliseconds run = row.call.kind == RequestKind::kPlainCall
+                               ? options.plain_call_timeout
+                               : row.target.first_token + options.stall;
+  return row.arrived + row.target.start_within + run;
+}
+
+void OnNothingHeard(EntryState* state, RequestRow* row, Time now) {
+  const RetryOptions& options = state->options.retry;
+  const Time first_sign_by = FirstSignBy(options, *row);
+  if (now >= first_sign_by) {
+    OnLostBeforeFirstToken(state, row, Reason::kStreamStalled, now);
+    return;
+  }
+  const Time silent_at =
+      state->servers.row(*row->server).reported_at + options.agent_silence;
+  if (now >= silent_at) {
+    OnLostBeforeFirstToken(state, row, Reason::kAgentLost, now);
+    return;
+  }
+  state->requests.SetDeadline(row, std::min(first_sign_by, silent_at));
+}
+
+void OnResumeOverdue(EntryState* state, RequestRow* row, Time now) {
+  if (state->servers.row(*row->server).link_up) {
+    AskResume(state, row, now);
+    return;
+  }
+  EndWithProblem(state, row, Reason::kStreamIncomplete,
+                 state->options.retry.default_retry_after, now);
+}
+
+void OnDue(EntryState* state, RequestRow* row, Time now) {
+  if (row->caller.stalls_at <= now) {
+    OnSlowCaller(state, row, now);
+    return;
+  }
+  switch (row->life.state()) {
+    case StreamState::kClaiming:
+      OnClaimOverdue(state, row, now);
+      return;
+    case StreamState::kWaiting:
+      OnNoServerInTime(state, row, now);
+      return;
+    case StreamState::kDispatched:
+      OnNothingHeard(state, row, now);
+      return;
+    case StreamState::kStreaming:
+      Count(state, *row, Reason::kStreamStalled);
+      AskResume(state, row, now);
+      return;
+    case StreamState::kResuming:
+      OnResumeOverdue(state, row, now);
+      return;
+    case StreamState::kFinished:
+      return;
+  }
+}
+
+}  // namespace
+
+void RunDeadlines(EntryState* state, Time now) {
+  while (RequestRow* row = state->requests.TakeDue(now)) {
+    OnDue(state, row, now);
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/entry_state.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "coltsfootfork/core/messages/entry_io.h"
+#include "coltsfootfork/core/routing/entry_options.h"
+#include "core/routing/prefix_hints.h"
+#include "core/routing/request_table.h"
+#include "core/routing/retry_budget.h"
+#include "core/routing/server_chooser.h"
+#include "core/routing/server_table.h"
+
+namespace coltsfootfork {
+
+// The tables of one entry, which its systems run over.
+struct EntryState {
+  EntryState(EntryOptions given, std::uint64_t seed)
+      : options(std::move(given)),
+        servers(options.choice),
+        hints(options.choice.hint_blocks_per_server),
+        chooser(options.choice, seed),
+        budget(options.retry) {}
+
+  EntryOptions options;
+  std::shared_ptr<const Configuration> configuration;
+  ServerTable servers;
+  PrefixHints hints;
+  ServerChooser chooser;
+  RetryBudget budget;
+  RequestTable requests;
+  bool stopping = false;
+  // What follows from the input in hand.
+  std::vector<EntryEffect> effects;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/request_admission.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/routing/entry_state.h"
+
+// What happens to a request before its first hand-over.
+namespace coltsfootfork {
+
+// Takes a caller's request: refuses it, asks for its claim, or hands it over.
+void OnCallerRequest(EntryState* state, const CallerRequest& call, Time now);
+
+// Takes the answer of the control replicas to a claim.
+void OnClaimAnswered(EntryState* state, const ClaimAnswered& answered,
+                     Time now);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/request_ending.cc
@@ -0,0 +1,157 @@
+#include "core/routing/request_ending.h"
+
+#include <utility>
+
+#include "coltsfootfork/core/stream/stored_generation.h"
+
+namespace coltsfootfork {
+namespace {
+
+void Settle(EntryState* state, RequestRow* row, ClaimOutcome outcome,
+            StoredAnswer answer) {
+  if (row->claim != ClaimStage::kHeld) return;
+  row->claim = ClaimStage::kNone;
+  state->effects.emplace_back(
+      SettleClaim{{{row->call.workspace, row->call.idempotency_key},
+                   row->call.request,
+                   outcome,
+                   std::move(answer)}});
+}
+
+void SettleUnanswered(EntryState* state, RequestRow* row) {
+  const bool not_run = row->unproved_dispatches == 0;
+  Settle(state, row, not_run ? ClaimOutcome::kNotRun : ClaimOutcome::kUnknown,
+         {});
+}
+
+void Close(EntryState* state, RequestRow* row) {
+  LeaveServer(state, row);
+  row->life.Apply(StreamEvent::kEnded);
+  state->requests.Remove(RequestId(row->call.request));
+}
+
+// The answer to the claim is still to come and must not be lost, or the key
+// would stay taken by a request that never ran.
+void AwaitAbandonedClaim(EntryState* state, RequestRow* row, Time now) {
+  MarkCallerGone(state, row);
+  state->requests.SetDeadline(
+      row, now + state->options.retry.abandoned_claim_timeout);
+}
+
+}  // namespace
+
+void MarkCallerGone(EntryState* state, RequestRow* row) {
+  row->caller.gone = true;
+  state->requests.SetCallerStall(row, Time::max());
+}
+
+void RefuseAtOnce(EntryState* state, const CallerRequest& call, Rank rank,
+                  Reason reason, std::chrono::milliseconds retry_after) {
+  state->effects.emplace_back(CountReason{reason, rank, call.service});
+  state->effects.emplace_back(
+      DeliverProblem{call.request, reason, true, retry_after});
+}
+
+void EndWithProblem(EntryState* state, RequestRow* row, Reason reason,
+                    std::chrono::milliseconds retry_after, Time now) {
+  Count(state, *row, reason);
+  if (!row->caller.gone) {
+    const bool not_run = row->unproved_dispatches == 0;
+    state->effects.emplace_back(
+        DeliverProblem{row->call.request, reason, not_run, retry_after});
+  }
+  if (row->claim == ClaimStage::kAsked) {
+    AwaitAbandonedClaim(state, row, now);
+    return;
+  }
+  SettleUnanswered(state, row);
+  Close(state, row);
+}
+
+void EndAsClaimed(EntryState* state, RequestRow* row, Reason reason,
+                  std::chrono::milliseconds retry_after) {
+  Count(state, *row, reason);
+  if (!row->caller.gone) {
+    state->effects.emplace_back(
+        DeliverProblem{row->call.request, reason, false, retry_after});
+  }
+  Close(state, row);
+}
+
+void EndWhole(EntryState* state, RequestRow* row,
+              const RequestCompleted& completed) {
+  state->budget.OnSuccess();
+  if (!row->caller.gone) {
+    state->effects.emplace_back(DeliverEnd{
+        row->call.request, completed.finish_reason, completed.token_count});
+  }
+  if (row->kept.overflowed) {
+    Settle(state, row, ClaimOutcome::kUnknown, {});
+  } else {
+    Settle(state, row, ClaimOutcome::kDone,
+           PackGeneration({row->kept.text, completed.finish_reason,
+                           completed.token_count}));
+  }
+  Close(state, row);
+}
+
+void EndWithAnswer(EntryState* state, RequestRow* row, StoredAnswer answer) {
+  state->budget.OnSuccess();
+  if (!row->caller.gone) {
+    state->effects.emplace_back(DeliverAnswer{row->call.request, answer});
+  }
+  Settle(state, row, ClaimOutcome::kDone, std::move(answer));
+  Close(state, row);
+}
+
+void EndWithStored(EntryState* state, RequestRow* row,
+                   const StoredAnswer& answer) {
+  const auto generation = UnpackGeneration(answer);
+  const RequestId& request = row->call.request;
+  if (row->caller.gone) {
+    // Nobody takes it.
+  } else if (!generation.has_value()) {
+    state->effects.emplace_back(DeliverAnswer{request, answer});
+  } else {
+    if (!generation->text.empty()) {
+      state->effects.emplace_back(DeliverToken{request, 0, generation->text});
+    }
+    state->effects.emplace_back(DeliverEnd{request, generation->finish_reason,
+                                           generation->token_count});
+  }
+  Close(state, row);
+}
+
+void EndWithoutCaller(EntryState* state, RequestRow* row, Time now) {
+  if (row->claim == ClaimStage::kAsked) {
+    AwaitAbandonedClaim(state, row, now);
+    return;
+  }
+  CancelAtAgent(state, *row);
+  SettleUnanswered(state, row);
+  Close(state, row);
+}
+
+void Count(EntryState* state, const RequestRow& row, Reason reason) {
+  state->effects.emplace_back(CountReason{reason, row.rank, row.call.service});
+}
+
+void LeaveServer(EntryState* state, RequestRow* row) {
+  if (!row->server.has_value()) return;
+  --state->servers.row(*row->server).outstanding;
+  row->server.reset();
+}
+
+void CancelAtAgent(EntryState* state, const RequestRow& row) {
+  if (!row.server.has_value()) return;
+  SendToServer(state, *row.server,
+               CancelRequest{row.call.request, row.sequencer.generation()});
+}
+
+void SendToServer(EntryState* state, ServerIndex server, EntryToAgent message) {
+  const ServerRow& row = state->servers.row(server);
+  if (!row.link_up) return;
+  state->effects.emplace_back(SendToAgent{row.agent, std::move(message)});
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/retry_budget.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "coltsfootfork/core/routing/entry_options.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// Bounds retries to a share of recent successes, so that a dying server does
+// not multiply the load on the others.
+class RetryBudget {
+ public:
+  explicit RetryBudget(const RetryOptions& options)
+      : options_(options), level_(options.budget_limit) {}
+
+  void OnSuccess();
+
+  // Takes one retry out of the budget, or returns false where none is left.
+  bool Spend(Time now);
+
+ private:
+  void Refill(Time now);
+
+  RetryOptions options_;
+  double level_;
+  Time refilled_at_{};
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/server_table.cc
@@ -0,0 +1,127 @@
+#include "core/routing/server_table.h"
+
+#include <algorithm>
+
+namespace coltsfootfork {
+namespace {
+
+// More sends than this between two reports are not told apart any more.
+constexpr std::size_t kMaxRecentSends = 256;
+
+bool Serves(const ServerRow& row) {
+  return row.report.has_value() && row.report->serving && !row.report->draining;
+}
+
+}  // namespace
+
+ServerIndex ServerTable::Ensure(const ProcessId& agent) {
+  const auto [place, added] =
+      by_agent_.emplace(agent, static_cast<ServerIndex>(rows_.size()));
+  if (added) {
+    rows_.emplace_back();
+    rows_.back().agent = agent;
+  }
+  return place->second;
+}
+
+std::optional<ServerIndex> ServerTable::Find(const ProcessId& agent) const {
+  const auto found = by_agent_.find(agent);
+  if (found == by_agent_.end()) return std::nullopt;
+  return found->second;
+}
+
+bool ServerTable::ApplyReport(ServerIndex index, const ServerReport& report,
+                              Time now) {
+  ServerRow& row = rows_[index];
+  const bool fresh_start = !row.report.has_value() ||
+                           row.report->server != report.server ||
+                           row.report->incarnation != report.incarnation;
+  const bool served = Serves(row) && row.heard && !fresh_start &&
+                      now - row.reported_at <= options_.report_fresh_for;
+  Reindex(index, row.report ? row.report->services : std::vector<ServiceId>(),
+          report.services);
+  row.report = report;
+  row.reported_at = now;
+  row.heard = true;
+  if (Serves(row) && !served) row.serving_since = now;
+  while (!row.sends.empty() &&
+         row.sends.front().at + options_.report_lag <= now) {
+    row.sends.pop_front();
+  }
+  return fresh_start;
+}
+
+void ServerTable::SetLink(ServerIndex index, bool up) {
+  ServerRow& row = rows_[index];
+  row.link_up = up;
+  // What was reported over the old link says nothing of the next one.
+  row.heard = false;
+  row.sends.clear();
+}
+
+void ServerTable::ApplyDirectory(const std::vector<DirectoryAgent>& agents) {
+  has_directory_ = true;
+  for (ServerRow& row : rows_) row.listed = false;
+  for (const DirectoryAgent& agent : agents) {
+    ServerRow& row = rows_[Ensure(agent.process)];
+    row.listed = true;
+    row.listed_draining = agent.draining;
+  }
+}
+
+void ServerTable::NoteSend(ServerIndex index, Rank rank,
+                           std::chrono::microseconds work, Time now) {
+  std::deque<RecentSend>& sends = rows_[index].sends;
+  if (sends.size() >= kMaxRecentSends) sends.pop_front();
+  sends.push_back({now, rank, work});
+}
+
+bool ServerTable::Eligible(ServerIndex index, Time now) const {
+  const ServerRow& row = rows_[index];
+  if (!row.link_up || !row.heard || !Serves(row)) return false;
+  if (has_directory_ && (!row.listed || row.listed_draining)) return false;
+  return now - row.reported_at <= options_.report_fresh_for;
+}
+
+const std::vector<ServerIndex>& ServerTable::Offering(
+    const ServiceId& service) const {
+  static const std::vector<ServerIndex> nobody;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? nobody : found->second;
+}
+
+double ServerTable::RampShare(ServerIndex index, Time now) const {
+  const std::chrono::duration<double> age = now - rows_[index].serving_since;
+  const std::chrono::duration<double> ramp = options_.ramp;
+  return ramp.count() <= 0.0 ? 1.0 : std::min(1.0, age / ramp);
+}
+
+std::chrono::microseconds ServerTable::UncoveredWork(ServerIndex index,
+                                                     Rank rank) const {
+  std::chrono::microseconds work{0};
+  for (const RecentSend& send : rows_[index].sends) {
+    if (send.rank <= rank) work += send.work;
+  }
+  return work;
+}
+
+void ServerTable::Reindex(ServerIndex index,
+                          const std::vector<ServiceId>& before,
+                          const std::vector<ServiceId>& after) {
+  if (before == after) return;
+  for (const ServiceId& service : before) {
+    std::vector<ServerIndex>& offering = by_service_[service];
+    offering.erase(std::remove(offering.begin(), offering.end(), index),
+                   offering.end());
+  }
+  for (const ServiceId& service : after) {
+    std::vector<ServerIndex>& offering = by_service_[service];
+    const auto place =
+        std::lower_bound(offering.begin(), offering.end(), index);
+    if (place == offering.end() || *place != index) {
+      offering.insert(place, index);
+    }
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/routing/server_table.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "coltsfootfork/core/messages/control_messages.h"
+#include "coltsfootfork/core/messages/request_messages.h"
+#include "coltsfootfork/core/routing/entry_options.h"
+#include "coltsfootfork/core/types/time.h"
+#include "core/routing/prefix_hints.h"
+
+namespace coltsfootfork {
+
+// A hand-over that the server's reports do not cover yet.
+struct RecentSend {
+  Time at;
+  Rank rank = Rank::kDeferrable;
+  std::chrono::microseconds work{0};
+};
+
+// One agent and what it last told of its backend server.
+struct ServerRow {
+  ProcessId agent;
+  bool link_up = false;
+  // Whether the directory names the agent, and whether as draining.
+  bool listed = false;
+  bool listed_draining = false;
+  std::optional<ServerReport> report;
+  Time reported_at;
+  // Whether the report came over the present link.
+  bool heard = false;
+  // When the server was first heard to serve after it had not.
+  Time serving_since;
+  std::deque<RecentSend> sends;
+  // Requests that this entry has handed over and that have not ended.
+  std::uint32_t outstanding = 0;
+};
+
+// The backend servers that this entry knows, one row an agent.
+class ServerTable {
+ public:
+  explicit ServerTable(const ChoiceOptions& options) : options_(options) {}
+
+  // The row of an agent; made where there is none.
+  ServerIndex Ensure(const ProcessId& agent);
+  std::optional<ServerIndex> Find(const ProcessId& agent) const;
+  ServerRow& row(ServerIndex index) { return rows_[index]; }
+  const ServerRow& row(ServerIndex index) const { return rows_[index]; }
+  std::size_t size() const { return rows_.size(); }
+
+  // Takes a report. Returns true where what was known of the server's memory
+  // is void, because it is another server or has started anew.
+  bool ApplyReport(ServerIndex index, const ServerReport& report, Time now);
+  void SetLink(ServerIndex index, bool up);
+  void ApplyDirectory(const std::vector<DirectoryAgent>& agents);
+  void NoteSend(ServerIndex index, Rank rank, std::chrono::microseconds work,
+                Time now);
+
+  // Whether the server may get new work of a service it offers.
+  bool Eligible(ServerIndex index, Time now) const;
+
+  // The rows whose servers offer the service, eligible or not, in order.
+  const std::vector<ServerIndex>& Offering(const ServiceId& service) const;
+
+  // From 0 to 1: how much of its full share a server may get.
+  double RampShare(ServerIndex index, Time now) const;
+
+  // Work sent to the server that its reports do not cover, as far as it goes
+  // ahead of a request of the rank.
+  std::chrono::microseconds UncoveredWork(ServerIndex index, Rank rank) const;
+
+ private:
+  void Reindex(ServerIndex index, const std::vector<ServiceId>& before,
+               const std::vector<ServiceId>& after);
+
+  ChoiceOptions options_;
+  bool has_directory_ = false;
+  std::vector<ServerRow> rows_;
+  std::map<ProcessId, ServerIndex> by_agent_;
+  std::map<ServiceId, std::vector<ServerIndex>> by_service_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/core/routing/fake_cluster.h
@@ -0,0 +1,269 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coltsfootfork/core/routing/entry_core.h"
+#include "core/routing/fake_agent.h"
+
+namespace coltsfootfork::testing {
+
+// What one caller has got.
+struct CallerView {
+  std::vector<std::string> tokens;
+  std::vector<std::uint32_t> indices;
+  std::optional<DeliverEnd> end;
+  std::optional<StoredAnswer> answer;
+  std::optional<DeliverProblem> problem;
+  int finals = 0;
+  int after_final = 0;
+};
+
+// The control replicas' claims, with a quorum or without.
+class FakeClaims {
+ public:
+  ClaimBeginReply Begin(const ClaimBegin& begin) {
+    if (!quorum) return {ClaimVerdict::kNoQuorum, {}};
+    const auto [place, added] = claims_.try_emplace(begin.claim);
+    Claim& claim = place->second;
+    if (!added && claim.digest != begin.request_digest) {
+      return {ClaimVerdict::kKeyReused, {}};
+    }
+    if (!added && claim.verdict != ClaimVerdict::kGranted) {
+      return {claim.verdict, claim.answer};
+    }
+    claim = {
+        begin.request, begin.request_digest, ClaimVerdict::kInProgress, {}};
+    return {ClaimVerdict::kGranted, {}};
+  }
+
+  void Settle(const ClaimSettle& settle) {
+    const auto found = claims_.find(settle.claim);
+    if (found == claims_.end() || found->second.holder != settle.request) {
+      return;
+    }
+    Claim& claim = found->second;
+    claim.answer = settle.answer;
+    claim.verdict = settle.outcome == ClaimOutcome::kDone ? ClaimVerdict::kDone
+                    : settle.outcome == ClaimOutcome::kNotRun
+                        ? ClaimVerdict::kGranted
+                        : ClaimVerdict::kOutcomeUnknown;
+  }
+
+  bool quorum = true;
+
+ private:
+  struct Claim {
+    RequestId holder;
+    std::string digest;
+    ClaimVerdict verdict = ClaimVerdict::kInProgress;
+    StoredAnswer answer;
+  };
+  std::map<ClaimKey, Claim> claims_;
+};
+
+// An entry core between callers, agents and control replicas that do what a
+// test tells them.
+class FakeCluster {
+ public:
+  explicit FakeCluster(std::size_t agent_count, std::uint64_t seed = 1,
+                       EntryOptions options = DefaultOptions())
+      : entry(std::move(options), seed) {
+    Input(ConfigurationInForce{MakeConfiguration()});
+    for (std::size_t i = 0; i < agent_count; ++i) {
+      const std::string name = "agent" + std::to_string(i);
+      agents.emplace(ProcessId(name), FakeAgent(name, &runs));
+    }
+    for (auto& [id, agent] : agents) LinkUp(id);
+  }
+
+  static EntryOptions DefaultOptions() {
+    EntryOptions options;
+    options.process = ProcessId("entry1");
+    options.zone = ZoneId("z1");
+    return options;
+  }
+
+  static std::shared_ptr<Configuration> MakeConfiguration() {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->revision = 1;
+    configuration->zones = {{ZoneId("z1"), "r1"}, {ZoneId("z2"), "r1"}};
+    configuration->services = {{ServiceId("model"), RequestKind::kGeneration},
+                               {ServiceId("ledger"), RequestKind::kPlainCall}};
+    configuration->workspaces = {{WorkspaceId("w1"), "", 1.0, {}}};
+    configuration->rules.ranks = {
+        {Rank::kUrgent, std::nullopt, ServiceId("ledger")}};
+    configuration->rules.non_idempotent = {{ServiceId("ledger"), "POST", "/"}};
+    return configuration;
+  }
+
+  static CallerRequest Generation(const std::string& name) {
+    CallerRequest call;
+    call.request = RequestId(name);
+    call.workspace = WorkspaceId("w1");
+    call.service = ServiceId("model");
+    call.method = "POST";
+    call.target = "/v1/completions";
+    call.stream = true;
+    call.prompt_tokens = 100;
+    call.request_digest = "digest";
+    return call;
+  }
+
+  // A POST must run at most once by rule; a GET may be repeated.
+  static CallerRequest PlainCall(const std::string& name,
+                                 const std::string& method) {
+    CallerRequest call = Generation(name);
+    call.service = ServiceId("ledger");
+    call.kind = RequestKind::kPlainCall;
+    call.method = method;
+    call.target = "/sales";
+    call.stream = false;
+    return call;
+  }
+
+  void Input(const EntryInput& input) { Apply(entry.Handle(input, now)); }
+
+  void Advance(Duration by) {
+    now += by;
+    Apply(entry.Tick(now));
+  }
+
+  // Lets time pass in steps, in which agents with a link report and all that
+  // is on its way arrives.
+  void Pass(Duration by, Duration step = std::chrono::milliseconds(250)) {
+    for (const Time end = now + by; now < end;) {
+      for (const auto& [id, agent] : agents) {
+        if (links.at(id)) Tell(id, agent.Report());
+      }
+      Advance(step);
+      DeliverAll();
+    }
+  }
+
+  void Tell(const ProcessId& agent, AgentToEntry message) {
+    Input(AgentMessage{agent, std::move(message)});
+  }
+
+  void LinkUp(const ProcessId& id) {
+    links[id] = true;
+    Input(AgentUp{id});
+    Tell(id, agents.at(id).Report());
+  }
+
+  // What is on the link is lost. The agent keeps its requests for a while.
+  void LinkDown(const ProcessId& id) {
+    links[id] = false;
+    agents.at(id).outbox().clear();
+    Input(AgentDown{id});
+  }
+
+  bool DeliverOne(const ProcessId& id) {
+    auto& outbox = agents.at(id).outbox();
+    if (!links.at(id)) outbox.clear();
+    if (outbox.empty()) return false;
+    const AgentToEntry message = outbox.front();
+    outbox.pop_front();
+    Tell(id, message);
+    return true;
+  }
+
+  void DeliverAll() {
+    for (auto& [id, agent] : agents) {
+      while (DeliverOne(id)) {
+      }
+    }
+    AnswerClaims();
+  }
+
+  void AnswerClaims() {
+    while (!asked_claims.empty()) {
+      const ClaimBegin begin = asked_claims.front();
+      asked_claims.pop_front();
+      Input(ClaimAnswered{begin.request, claims.Begin(begin)});
+    }
+  }
+
+  // The agent that holds the request; a test fails where there is none.
+  ProcessId HolderOf(const std::string& request) const {
+    for (const auto& [id, agent] : agents) {
+      if (agent.Holds(RequestId(request))) return id;
+    }
+    return ProcessId("none");
+  }
+  FakeAgent& AgentOf(const std::string& request) {
+    return agents.at(HolderOf(request));
+  }
+
+  CallerView& Caller(const std::string& request) {
+    return callers[RequestId(request)];
+  }
+  int Runs(const std::string& request) { return runs[RequestId(request)]; }
+
+  EntryCore entry;
+  Time now{std::chrono::seconds(1000)};
+  std::map<RequestId, int> runs;
+  std::map<ProcessId, FakeAgent> agents;
+  std::map<ProcessId, bool> links;
+  std::map<RequestId, CallerView> callers;
+  std::map<Reason, int> counts;
+  FakeClaims claims;
+  std::deque<ClaimBegin> asked_claims;
+  std::vector<ClaimSettle> settled;
+
+ private:
+  struct EffectVisitor {
+    FakeCluster* cluster;
+
+    void operator()(const SendToAgent& send) const {
+      if (cluster->links[send.agent]) {
+        cluster->agents.at(send.agent).Take(send.message);
+      }
+    }
+    void operator()(const DeliverToken& token) const {
+      CallerView& view = cluster->callers[token.request];
+      if (view.finals > 0) ++view.after_final;
+      view.tokens.push_back(token.text);
+      view.indices.push_back(token.index);
+    }
+    void operator()(const DeliverEnd& end) const {
+      CallerView& view = cluster->callers[end.request];
+      view.end = end;
+      ++view.finals;
+    }
+    void operator()(const DeliverAnswer& answer) const {
+      CallerView& view = cluster->callers[answer.request];
+      view.answer = answer.answer;
+      ++view.finals;
+    }
+    void operator()(const DeliverProblem& problem) const {
+      CallerView& view = cluster->callers[problem.request];
+      view.problem = problem;
+      ++view.finals;
+    }
+    void operator()(const AskClaim& ask) const {
+      cluster->asked_claims.push_back(ask.claim);
+    }
+    void operator()(const SettleClaim& settle) const {
+      cluster->settled.push_back(settle.claim);
+      cluster->claims.Settle(settle.claim);
+    }
+    void operator()(const CountReason& count) const {
+      ++cluster->counts[count.reason];
+    }
+  };
+
+  void Apply(const std::vector<EntryEffect>& effects) {
+    for (const EntryEffect& effect : effects) {
+      std::visit(EffectVisitor{this}, effect);
+    }
+  }
+};
+
+}  // namespace coltsfootfork::testing
