scheduling: Add the agent's decision core

The agent is the only way to one backend server, so that queue, ranks, fairness, limits, admission by predicted memory peak, stall detection, drain and fences are decided in one place, from typed inputs and a given time.

EngineAnnounced gains leaving_within with a default of zero: a server that is reclaimed at short notice says when it stops, and the agent moves what would be cut off. An announcement without it waits for running work as before.

--- a/include/coltsfootfork/core/messages/engine_messages.h
+++ b/include/coltsfootfork/core/messages/engine_messages.h
@@ -59,6 +59,8 @@
   bool checks_fence = false;
   // The server has been told to leave and will stop.
   bool leaving = false;
+  // When it stops whatever runs; zero when it waits for running work.
+  std::chrono::milliseconds leaving_within{0};
 };
 
 // Server to agent: its load, some time ago.
--- /dev/null
+++ b/src/core/scheduling/agent_state.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include "coltsfootfork/core/messages/agent_io.h"
+#include "coltsfootfork/core/scheduling/agent_options.h"
+#include "core/scheduling/admission.h"
+#include "core/scheduling/capacity_meter.h"
+#include "core/scheduling/ended_attempts.h"
+#include "core/scheduling/fence_guard.h"
+#include "core/scheduling/length_predictor.h"
+#include "core/scheduling/request_queue.h"
+#include "core/scheduling/running_table.h"
+#include "core/scheduling/server_lifecycle.h"
+#include "core/scheduling/workspace_limiter.h"
+
+namespace coltsfootfork {
+
+// What entries were last told, and when.
+struct ReportState {
+  std::optional<Time> sent;
+  bool serving = false;
+  bool draining = false;
+  // Must go out now, whatever the interval.
+  bool due = false;
+};
+
+// The agent's tables. The systems beside this file run over them.
+struct AgentState {
+  AgentState(AgentOptions given, std::uint64_t seed)
+      : options(std::move(given)),
+        random(seed),
+        queue(options.policy.order, options.queue),
+        admission(options.policy.admission),
+        limiter(options.limit_share) {}
+
+  AgentOptions options;
+  std::mt19937_64 random;
+  std::shared_ptr<const Configuration> configuration;
+  std::unordered_map<WorkspaceId, double> weights;
+
+  // The backend server: its last announcement, and when it was last heard.
+  EngineAnnounced server;
+  Time server_heard;
+  ServerLifecycle lifecycle;
+  bool stopping = false;
+
+  std::set<ProcessId> entries;
+  RequestQueue queue;
+  RunningTable running;
+  EndedAttempts ended;
+  Admission admission;
+  LengthPredictor lengths;
+  WorkspaceLimiter limiter;
+  CapacityMeter capacity;
+  FenceGuard fences;
+  ReportState report;
+  // Time that the server takes for one token of a prompt.
+  std::chrono::duration<double> prefill_per_token{0};
+
+  double WeightOf(const WorkspaceId& workspace) const {
+    const auto found = weights.find(workspace);
+    return found == weights.end() ? 1.0 : found->second;
+  }
+  bool Serving() const {
+    return !stopping && lifecycle.stage() == ServerStage::kServing;
+  }
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/announcement.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/scheduling/agent_state.h"
+#include "core/scheduling/effects.h"
+
+namespace coltsfootfork {
+
+// Takes the backend server's word of who it is: a new incarnation has lost
+// what the old one ran, a leaving one gets nothing new.
+void TakeAnnouncement(AgentState& state, const EngineAnnounced& announced,
+                      Effects& effects);
+
+// The backend server is silent: gives up what it ran and what waits for it.
+void TakeSilence(AgentState& state, Effects& effects);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/batch_bound.cc
@@ -0,0 +1,86 @@
+#include "core/scheduling/batch_bound.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace coltsfootfork {
+namespace {
+
+constexpr double kFirstLimit = 8;
+constexpr double kSmallestLimit = 2;
+constexpr double kLargestLimit = 4096;
+constexpr std::chrono::milliseconds kWindow{500};
+// Gaps that a window needs before it counts.
+constexpr std::uint32_t kFewestGaps = 100;
+// The promise holds for 95 gaps in 100.
+constexpr double kLateShare = 0.05;
+// Below this share of late gaps the bound may grow.
+constexpr double kGoodShare = 0.025;
+constexpr double kDecrease = 0.93;
+constexpr double kSlowStartGrowth = 1.5;
+// What urgent work may run beyond the bound.
+constexpr double kUrgentExcess = 0.1;
+// How long after its last urgent request a server keeps to urgent gaps.
+constexpr std::chrono::seconds kUrgentMemory{30};
+
+}  // namespace
+
+BatchBound::BatchBound() : limit_(kFirstLimit), most_(kLargestLimit) {}
+
+void BatchBound::SetTarget(Rank rank, Duration target) {
+  targets_.at(RankIndex(rank)) = target;
+}
+
+void BatchBound::SetMost(std::uint32_t most) {
+  most_ = most == 0 ? kLargestLimit : most;
+  limit_ = std::min(limit_, most_);
+}
+
+void BatchBound::SeeRank(Rank rank, Time now) {
+  if (rank != Rank::kUrgent) return;
+  urgent_lately_ = true;
+  urgent_seen_ = now;
+}
+
+Duration BatchBound::Target() const {
+  const Duration urgent = targets_[RankIndex(Rank::kUrgent)];
+  const Duration deferrable = targets_[RankIndex(Rank::kDeferrable)];
+  return urgent_lately_ ? std::min(urgent, deferrable) : deferrable;
+}
+
+void BatchBound::CountGap(Duration gap) {
+  ++gaps_;
+  if (gap > Target()) ++late_gaps_;
+}
+
+void BatchBound::Observe(std::uint32_t running, Time now) {
+  if (urgent_lately_ && now - urgent_seen_ > kUrgentMemory) {
+    urgent_lately_ = false;
+  }
+  most_running_ = std::max(most_running_, running);
+  if (now - window_ < kWindow || gaps_ < kFewestGaps) return;
+  CloseWindow(most_running_);
+  window_ = now;
+  gaps_ = 0;
+  late_gaps_ = 0;
+  most_running_ = running;
+}
+
+void BatchBound::CloseWindow(std::uint32_t running) {
+  const double late = static_cast<double>(late_gaps_) / gaps_;
+  if (late > kLateShare) {
+    slow_start_ = false;
+    // The running requests go on: only a bound below them helps.
+    limit_ = std::min<double>(limit_, running) * kDecrease;
+  } else if (late < kGoodShare && running + 1 >= limit_) {
+    limit_ = slow_start_ ? limit_ * kSlowStartGrowth : limit_ + 1;
+  }
+  limit_ = std::clamp(limit_, kSmallestLimit, most_);
+}
+
+std::uint32_t BatchBound::Limit(Rank rank) const {
+  const double excess = rank == Rank::kUrgent ? 1 + limit_ * kUrgentExcess : 0;
+  return static_cast<std::uint32_t>(std::min(limit_ + excess, most_));
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/batch_bound.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "coltsfootfork/core/types/rank.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// How many requests may run at once, so that the gaps between tokens keep to
+// the promise of the strictest rank that has had work lately. Additive
+// increase, multiplicative decrease on the share of gaps above the promise:
+// this needs no model of how the gap grows with batch, context and prefill.
+class BatchBound {
+ public:
+  // `target` is the longest gap that a rank is promised.
+  void SetTarget(Rank rank, Duration target);
+  // `most` is the server's own bound on requests; zero for none.
+  void SetMost(std::uint32_t most);
+
+  // Notes that a rank has work.
+  void SeeRank(Rank rank, Time now);
+  // Counts one gap between two tokens of a stream.
+  void CountGap(Duration gap);
+  // To be called each tick with the number of requests that run.
+  void Observe(std::uint32_t running, Time now);
+
+  // Requests that may run at once. Urgent work may pass the bound a little, so
+  // that it need not wait for a stream to end.
+  std::uint32_t Limit(Rank rank) const;
+
+ private:
+  Duration Target() const;
+  void CloseWindow(std::uint32_t running);
+
+  std::array<Duration, kRankCount> targets_{};
+  double limit_;
+  double most_;
+  bool slow_start_ = true;
+  bool urgent_lately_ = false;
+  Time urgent_seen_;
+  Time window_;
+  std::uint32_t gaps_ = 0;
+  std::uint32_t late_gaps_ = 0;
+  std::uint32_t most_running_ = 0;
+
+ public:
+  BatchBound();
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/endings.cc
@@ -0,0 +1,82 @@
+#include "core/scheduling/endings.h"
+
+#include <vector>
+
+#include "core/scheduling/start_delay.h"
+
+namespace coltsfootfork {
+namespace {
+
+// Tokens that a stream longer than expected is charged with at a time.
+constexpr double kChargeStep = 32;
+
+}  // namespace
+
+void RefuseDispatch(AgentState& /*state*/, const ProcessId& entry,
+                    const Dispatch& dispatch, Reason reason,
+                    std::chrono::milliseconds retry_after, Effects& effects) {
+  effects.Count(reason, dispatch.rank, dispatch.service);
+  effects.ToEntry(entry, RequestRefused{dispatch.request, dispatch.generation,
+                                        reason, retry_after});
+}
+
+void RefuseWaiting(AgentState& state, const QueuedRequest& request,
+                   Reason reason, Effects& effects) {
+  const Dispatch& dispatch = request.dispatch;
+  if (dispatch.kind == RequestKind::kGeneration) {
+    state.limiter.EndStream(dispatch.workspace);
+  }
+  RefuseDispatch(state, request.entry, dispatch, reason,
+                 RetryAfter(state, dispatch.rank), effects);
+}
+
+void RefuseAllWaiting(AgentState& state, Reason reason, Effects& effects) {
+  for (const QueuedRequest& request : state.queue.RemoveAll()) {
+    RefuseWaiting(state, request, reason, effects);
+  }
+}
+
+void ChargeBeyondEstimate(AgentState& state, RunningRequest& request) {
+  if (request.made() <= request.charged_tokens) return;
+  state.queue.Correct(request.rank, request.workspace, request.in_contention,
+                      kChargeStep);
+  request.charged_tokens += kChargeStep;
+}
+
+void ForgetRunning(AgentState& state, const RunningRequest& request) {
+  const double made = request.kind == RequestKind::kGeneration
+                          ? request.made()
+                          : request.charged_tokens;
+  state.queue.Correct(request.rank, request.workspace, request.in_contention,
+                      made - request.charged_tokens);
+  if (request.kind == RequestKind::kGeneration) {
+    state.limiter.EndStream(request.workspace);
+  }
+  state.ended.Remember(request.request, request.generation);
+  state.running.Remove(RequestId(request.request));
+}
+
+void Interrupt(AgentState& state, const RunningRequest& request,
+               const Interruption& interruption, Effects& effects) {
+  effects.Count(interruption.reason, request.rank, request.service);
+  if (interruption.cancel) {
+    effects.ToEngine(EngineCancel{request.request, request.generation});
+  }
+  effects.ToEntry(
+      request.entry,
+      RequestInterrupted{request.request, request.generation,
+                         interruption.reason, interruption.resumable});
+  ForgetRunning(state, request);
+}
+
+void InterruptAll(AgentState& state, Reason reason, bool cancel,
+                  Effects& effects) {
+  while (state.running.size() > 0) {
+    const RunningRequest& request = state.running.all().begin()->second;
+    const bool resumable =
+        state.server.can_resume && request.kind == RequestKind::kGeneration;
+    Interrupt(state, request, {reason, resumable, cancel}, effects);
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/engine_events.cc
@@ -0,0 +1,168 @@
+#include "core/scheduling/engine_events.h"
+
+#include <variant>
+
+#include "core/scheduling/announcement.h"
+#include "core/scheduling/endings.h"
+
+namespace coltsfootfork {
+namespace {
+
+// How much of the newest sample goes into the prefill time.
+constexpr double kNewestPrefill = 0.05;
+
+// Handles the messages about one request, and the rest in one line each.
+class EngineEvents {
+ public:
+  EngineEvents(AgentState& state, Time now, Effects& effects)
+      : state_(state), now_(now), effects_(effects) {}
+
+  void operator()(const EngineAnnounced& announced) {
+    TakeAnnouncement(state_, announced, effects_);
+  }
+  void operator()(const EngineLoad& /*load*/) {}
+  void operator()(const CacheHint& hint) {
+    for (const ProcessId& entry : state_.entries) effects_.ToEntry(entry, hint);
+  }
+  void operator()(const EngineOrderResult& result) { effects_.Settle(result); }
+
+  void operator()(const EngineToken& token);
+  void operator()(const EngineCompleted& completed);
+  void operator()(const EngineRefused& refused);
+  void operator()(const EngineInterrupted& interrupted);
+  void operator()(const EnginePreempted& preempted);
+
+ private:
+  // The running request, or nothing after counting a frame of an attempt that
+  // is fenced off or over.
+  RunningRequest* Live(const RequestId& request, Generation generation);
+  // Tells the entry that the dispatch did not run.
+  void Refuse(const RunningRequest& running, Reason reason);
+  void MeasureGap(const RunningRequest& running);
+  bool CanResume(const RunningRequest& running) const {
+    return state_.server.can_resume && running.kind == RequestKind::kGeneration;
+  }
+
+  AgentState& state_;
+  Time now_;
+  Effects& effects_;
+};
+
+RunningRequest* EngineEvents::Live(const RequestId& request,
+                                   Generation generation) {
+  RunningRequest* running = state_.running.Find(request, generation);
+  if (running == nullptr) {
+    effects_.Count(Reason::kStaleGeneration, Rank::kDeferrable, {});
+  }
+  return running;
+}
+
+void EngineEvents::Refuse(const RunningRequest& running, Reason reason) {
+  effects_.Count(reason, running.rank, running.service);
+  effects_.ToEntry(running.entry,
+                   RequestRefused{running.request, running.generation, reason,
+                                  std::chrono::milliseconds(0)});
+  ForgetRunning(state_, running);
+}
+
+void EngineEvents::MeasureGap(const RunningRequest& running) {
+  if (!running.in_prefill()) {
+    // A preempted stream's gap says nothing about the batch.
+    if (!running.preempted) {
+      state_.admission.batch().CountGap(now_ - running.last_progress);
+    }
+    return;
+  }
+  if (running.prompt_tokens == 0) return;
+  const std::chrono::duration<double> took = now_ - running.started;
+  auto& known = state_.prefill_per_token;
+  known += kNewestPrefill * (took / running.prompt_tokens - known);
+}
+
+void EngineEvents::operator()(const EngineToken& token) {
+  RunningRequest* running = Live(token.request, token.generation);
+  if (running == nullptr) return;
+  if (token.index < running->next_index) {
+    effects_.Count(Reason::kDuplicateFrame, running->rank, running->service);
+    return;
+  }
+  if (token.index > running->next_index) {
+    Interrupt(state_, *running, {Reason::kFrameGap, CanResume(*running), true},
+              effects_);
+    return;
+  }
+  MeasureGap(*running);
+  state_.running.Advance(*running, now_);
+  state_.admission.Refresh(*running, state_.lengths);
+  state_.capacity.CountTokens(running->rank, 1);
+  state_.limiter.CountTokens(running->workspace, 1, now_);
+  ChargeBeyondEstimate(state_, *running);
+  effects_.ToEntry(running->entry, TokenFrame{token.request, token.generation,
+                                              token.index, token.text});
+}
+
+void EngineEvents::operator()(const EngineCompleted& completed) {
+  RunningRequest* running = Live(completed.request, completed.generation);
+  if (running == nullptr) return;
+  const bool generated = running->kind == RequestKind::kGeneration;
+  const bool whole = !generated || completed.status != 200 ||
+                     completed.token_count == running->next_index;
+  if (!whole) {
+    Interrupt(state_, *running,
+              {Reason::kStreamIncomplete, CanResume(*running), false},
+              effects_);
+    return;
+  }
+  if (generated && completed.status == 200) {
+    state_.lengths.Record(running->service, running->workspace,
+                          completed.token_count);
+  }
+  if (!generated) state_.capacity.CountTokens(running->rank, 1);
+  effects_.ToEntry(running->entry,
+                   RequestCompleted{completed.request, completed.generation,
+                                    completed.token_count,
+                                    completed.finish_reason, completed.status,
+                                    completed.content_type, completed.body});
+  ForgetRunning(state_, *running);
+}
+
+void EngineEvents::operator()(const EngineRefused& refused) {
+  RunningRequest* running = Live(refused.request, refused.generation);
+  if (running == nullptr) return;
+  if (running->next_index > 0) {
+    // The server does not know the stream that it was to resume.
+    Interrupt(state_, *running, {Reason::kStreamIncomplete, false, false},
+              effects_);
+    return;
+  }
+  Refuse(*running, Reason::kServerRefused);
+}
+
+void EngineEvents::operator()(const EngineInterrupted& interrupted) {
+  RunningRequest* running = Live(interrupted.request, interrupted.generation);
+  if (running == nullptr) return;
+  if (interrupted.never_sent && running->made() == 0) {
+    Refuse(*running, Reason::kServerLost);
+    return;
+  }
+  Interrupt(state_, *running, {Reason::kServerLost, CanResume(*running), false},
+            effects_);
+}
+
+void EngineEvents::operator()(const EnginePreempted& preempted) {
+  RunningRequest* running = Live(preempted.request, preempted.generation);
+  if (running == nullptr) return;
+  running->preempted = true;
+  running->last_progress = now_;
+  state_.admission.CountPreemption(now_);
+}
+
+}  // namespace
+
+void TakeEngineMessage(AgentState& state, const EngineToAgent& message,
+                       Time now, Effects& effects) {
+  state.server_heard = now;
+  std::visit(EngineEvents(state, now, effects), message);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/engine_events.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "core/scheduling/agent_state.h"
+#include "core/scheduling/effects.h"
+
+namespace coltsfootfork {
+
+// Takes a message from the backend server.
+void TakeEngineMessage(AgentState& state, const EngineToAgent& message,
+                       Time now, Effects& effects);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/fence_guard.cc
@@ -0,0 +1,22 @@
+#include "core/scheduling/fence_guard.h"
+
+namespace coltsfootfork {
+
+void FenceGuard::LearnFloor(const Fence& floor) {
+  if (!floor_ || *floor_ < floor) floor_ = floor;
+}
+
+OrderVerdict FenceGuard::Check(const EngineOrder& order) {
+  if (!floor_) return {false, "the fence floor is not known yet"};
+  if (order.fence < *floor_) return {false, "the fence is below the floor"};
+  if (passed_ && order.fence < *passed_) {
+    return {false, "a newer order has passed"};
+  }
+  if (passed_ && order.fence == *passed_) {
+    return {false, "the order has passed before"};
+  }
+  passed_ = order.fence;
+  return {true, ""};
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/intake.cc
@@ -0,0 +1,195 @@
+#include "core/scheduling/intake.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/scheduling/endings.h"
+#include "core/scheduling/start_delay.h"
+
+namespace coltsfootfork {
+namespace {
+
+// The part of its time to start that a request may be estimated to wait.
+constexpr double kUsableWait = 0.9;
+// The charge of a plain call, in tokens.
+constexpr double kPlainCallTokens = 1;
+constexpr std::chrono::hours kNoDeadline{24};
+
+// Stops a running request that nobody waits for any more. A call that may not
+// be repeated goes on to its end: half of it would help nobody.
+void StopRunning(AgentState& state, const RunningRequest& request,
+                 Effects& effects) {
+  if (request.non_idempotent) return;
+  effects.ToEngine(EngineCancel{request.request, request.generation});
+  ForgetRunning(state, request);
+}
+
+// Whether the dispatch is known already, or older than what is known.
+bool IsRepeat(AgentState& state, const Dispatch& dispatch) {
+  const QueuedRequest* waiting = state.queue.Find(dispatch.request);
+  if (waiting != nullptr) {
+    return waiting->dispatch.generation >= dispatch.generation;
+  }
+  const RunningRequest* running = state.running.Find(dispatch.request);
+  if (running != nullptr) return running->generation >= dispatch.generation;
+  return state.ended.IsRepeat(dispatch);
+}
+
+void DropWaiting(AgentState& state, const RequestId& request) {
+  const auto removed = state.queue.Remove(request);
+  if (removed && removed->dispatch.kind == RequestKind::kGeneration) {
+    state.limiter.EndStream(removed->dispatch.workspace);
+  }
+}
+
+// A newer generation fences the older one off.
+void DropOlder(AgentState& state, const RequestId& request, Effects& effects) {
+  DropWaiting(state, request);
+  const RunningRequest* running = state.running.Find(request);
+  if (running == nullptr) return;
+  effects.ToEngine(EngineCancel{running->request, running->generation});
+  ForgetRunning(state, *running);
+}
+
+// Why nothing new is taken, if so.
+Reason ClosedFor(const AgentState& state, const Dispatch& dispatch) {
+  if (state.stopping) return Reason::kStopping;
+  if (state.configuration == nullptr) return Reason::kNotConfigured;
+  if (state.lifecycle.stage() == ServerStage::kAway) {
+    return Reason::kServerLost;
+  }
+  if (state.lifecycle.stage() == ServerStage::kDraining) {
+    return Reason::kServerDraining;
+  }
+  const auto& services = state.server.services;
+  const bool offered = std::find(services.begin(), services.end(),
+                                 dispatch.service) != services.end();
+  if (!offered) return Reason::kUnknownService;
+  const std::uint64_t held =
+      std::uint64_t{dispatch.prompt_tokens} + dispatch.first_index;
+  const std::uint64_t memory = state.server.memory_tokens;
+  if (memory > 0 && held >= memory) return Reason::kRequestTooLarge;
+  return Reason::kNone;
+}
+
+bool CannotStartInTime(const AgentState& state, const Dispatch& dispatch) {
+  if (dispatch.start_within.count() == 0) return false;
+  // A resumed stream goes to the front.
+  if (dispatch.first_index > 0) return false;
+  const Duration delay =
+      EstimateStartDelay(state, dispatch.rank, dispatch.workspace);
+  const Duration within = dispatch.start_within;
+  return static_cast<double>(delay.count()) >
+         kUsableWait * static_cast<double>(within.count());
+}
+
+double ExpectedTokens(const AgentState& state, const Dispatch& dispatch) {
+  if (dispatch.kind == RequestKind::kPlainCall) return kPlainCallTokens;
+  if (dispatch.first_index > 0) {
+    return state.lengths.Remaining(dispatch.service, dispatch.workspace,
+                                   dispatch.first_index,
+                                   dispatch.max_output_tokens, 0.5);
+  }
+  return state.lengths.MeanLength(dispatch.service, dispatch.workspace,
+                                  dispatch.max_output_tokens);
+}
+
+void Enqueue(AgentState& state, const ProcessId& entry,
+             const Dispatch& dispatch, Time now, Effects& effects) {
+  QueuedRequest request;
+  request.entry = entry;
+  request.dispatch = dispatch;
+  request.arrived = now;
+  const bool bounded = dispatch.start_within.count() > 0;
+  request.start_by =
+      now + (bounded ? Duration(dispatch.start_within) : Duration(kNoDeadline));
+  request.expected_tokens = ExpectedTokens(state, dispatch);
+  const bool resumes = dispatch.first_index > 0;
+  Enqueued result = state.queue.Push(
+      std::move(request), state.WeightOf(dispatch.workspace), resumes);
+  if (result.displaced) {
+    RefuseWaiting(state, *result.displaced, Reason::kQueueFull, effects);
+  }
+  if (result.accepted) return;
+  if (dispatch.kind == RequestKind::kGeneration) {
+    state.limiter.EndStream(dispatch.workspace);
+  }
+  RefuseDispatch(state, entry, dispatch, Reason::kQueueFull,
+                 RetryAfter(state, dispatch.rank), effects);
+}
+
+}  // namespace
+
+void TakeDispatch(AgentState& state, const ProcessId& entry,
+                  const Dispatch& dispatch, Time now, Effects& effects) {
+  if (IsRepeat(state, dispatch)) {
+    effects.Count(Reason::kDuplicateFrame, dispatch.rank, dispatch.service);
+    return;
+  }
+  DropOlder(state, dispatch.request, effects);
+  const Reason closed = ClosedFor(state, dispatch);
+  if (closed != Reason::kNone) {
+    RefuseDispatch(state, entry, dispatch, closed,
+                   RetryAfter(state, dispatch.rank), effects);
+    return;
+  }
+  if (CannotStartInTime(state, dispatch)) {
+    RefuseDispatch(state, entry, dispatch, Reason::kDeadlineUnreachable,
+                   RetryAfter(state, dispatch.rank), effects);
+    return;
+  }
+  const bool is_stream = dispatch.kind == RequestKind::kGeneration;
+  if (dispatch.first_index > 0) {
+    state.limiter.Readmit(dispatch.workspace, is_stream);
+  } else {
+    const LimitVerdict verdict =
+        state.limiter.Admit(dispatch.workspace, is_stream, now);
+    if (verdict.reason != Reason::kNone) {
+      RefuseDispatch(state, entry, dispatch, verdict.reason,
+                     verdict.retry_after, effects);
+      return;
+    }
+  }
+  if (is_stream) state.admission.batch().SeeRank(dispatch.rank, now);
+  Enqueue(state, entry, dispatch, now, effects);
+}
+
+void TakeCancel(AgentState& state, const CancelRequest& cancel,
+                Effects& effects) {
+  const auto* waiting = state.queue.Find(cancel.request);
+  if (waiting != nullptr) {
+    if (waiting->dispatch.generation > cancel.generation) return;
+    effects.Count(Reason::kCallerGone, waiting->dispatch.rank,
+                  waiting->dispatch.service);
+    DropWaiting(state, cancel.request);
+    return;
+  }
+  const RunningRequest* running = state.running.Find(cancel.request);
+  if (running == nullptr || running->generation > cancel.generation) return;
+  effects.Count(Reason::kCallerGone, running->rank, running->service);
+  StopRunning(state, *running, effects);
+}
+
+void TakeEntryDown(AgentState& state, const ProcessId& entry,
+                   Effects& effects) {
+  state.entries.erase(entry);
+  for (const QueuedRequest& request : state.queue.RemoveOfEntry(entry)) {
+    if (request.dispatch.kind == RequestKind::kGeneration) {
+      state.limiter.EndStream(request.dispatch.workspace);
+    }
+    effects.Count(Reason::kCallerGone, request.dispatch.rank,
+                  request.dispatch.service);
+  }
+  std::vector<RequestId> of_entry;
+  for (const auto& [id, request] : state.running.all()) {
+    if (request.entry == entry) of_entry.push_back(id);
+  }
+  for (const RequestId& id : of_entry) {
+    const RunningRequest* running = state.running.Find(id);
+    effects.Count(Reason::kCallerGone, running->rank, running->service);
+    StopRunning(state, *running, effects);
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/memory_peak.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <vector>
+
+namespace coltsfootfork {
+
+// What one running request holds of key/value memory, and will come to hold.
+struct MemoryUse {
+  // Tokens of prompt and output that are held now.
+  double held = 0;
+  // Tokens still to be made, each held until the end.
+  double remaining = 0;
+};
+
+// The most memory in tokens that a batch takes at any later time, when each
+// request makes a token a step and gives its memory back at its end.
+double PredictPeak(std::vector<MemoryUse> batch);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/server_lifecycle.cc
@@ -0,0 +1,72 @@
+#include "core/scheduling/server_lifecycle.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+struct SaidServing {};
+struct SaidLeaving {};
+struct FellSilent {};
+
+// The states stand in the order of ServerStage.
+struct LifecycleFront : msm::front::state_machine_def<LifecycleFront> {
+  struct Away : msm::front::state<> {};
+  struct Serving : msm::front::state<> {};
+  struct Draining : msm::front::state<> {};
+
+  using initial_state = Away;
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<  // NOLINT
+      Row<Away,     SaidServing, Serving,  none, none>,
+      Row<Away,     SaidLeaving, Draining, none, none>,
+      Row<Serving,  SaidLeaving, Draining, none, none>,
+      Row<Serving,  FellSilent,  Away,     none, none>,
+      Row<Draining, SaidServing, Serving,  none, none>,
+      Row<Draining, FellSilent,  Away,     none, none>> {};
+  // clang-format on
+
+  // An event that changes nothing is no fault.
+  template <typename Machine, typename Event>
+  void no_transition(const Event& /*event*/, Machine& /*machine*/,
+                     int /*state*/) {}
+};
+
+}  // namespace
+
+struct ServerLifecycle::Machine {
+  msm::back::state_machine<LifecycleFront> machine;
+};
+
+ServerLifecycle::ServerLifecycle() : machine_(std::make_unique<Machine>()) {
+  machine_->machine.start();
+}
+ServerLifecycle::~ServerLifecycle() = default;
+ServerLifecycle::ServerLifecycle(ServerLifecycle&&) noexcept = default;
+ServerLifecycle& ServerLifecycle::operator=(ServerLifecycle&&) noexcept =
+    default;
+
+void ServerLifecycle::OnServing() {
+  machine_->machine.process_event(SaidServing());
+}
+
+void ServerLifecycle::OnLeaving() {
+  machine_->machine.process_event(SaidLeaving());
+}
+
+void ServerLifecycle::OnSilent() {
+  machine_->machine.process_event(FellSilent());
+}
+
+ServerStage ServerLifecycle::stage() const {
+  return static_cast<ServerStage>(machine_->machine.current_state()[0]);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/watcher.cc
@@ -0,0 +1,68 @@
+#include "core/scheduling/watcher.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/scheduling/announcement.h"
+#include "core/scheduling/endings.h"
+
+namespace coltsfootfork {
+namespace {
+
+// How long the request may go without progress.
+std::chrono::milliseconds BoundOf(const AgentState& state,
+                                  const RunningRequest& request) {
+  const SilenceBounds& bounds = state.options.silence;
+  if (request.kind == RequestKind::kPlainCall) return bounds.plain_call;
+  if (request.preempted) return bounds.preempted;
+  return request.in_prefill() ? bounds.first_token : bounds.token_gap;
+}
+
+void EndStalled(AgentState& state, Time now, Effects& effects) {
+  std::vector<RequestId> stalled;
+  for (const auto& [id, request] : state.running.all()) {
+    if (now - request.last_progress >= BoundOf(state, request)) {
+      stalled.push_back(id);
+    }
+  }
+  for (const RequestId& id : stalled) {
+    const RunningRequest& request = *state.running.Find(id);
+    const bool generates = request.kind == RequestKind::kGeneration;
+    const Reason reason =
+        generates ? Reason::kStreamStalled : Reason::kOutcomeUnknown;
+    Interrupt(state, request,
+              {reason, generates && state.server.can_resume, generates},
+              effects);
+  }
+}
+
+void KeepEarliest(std::optional<Time>& earliest, Time candidate) {
+  earliest = earliest ? std::min(*earliest, candidate) : candidate;
+}
+
+}  // namespace
+
+void Watch(AgentState& state, Time now, Effects& effects) {
+  for (const QueuedRequest& request : state.queue.RemoveOverdue(now)) {
+    RefuseWaiting(state, request, Reason::kDeadlineUnreachable, effects);
+  }
+  const bool silent = now - state.server_heard >= state.options.silence.server;
+  if (state.lifecycle.stage() != ServerStage::kAway && silent) {
+    TakeSilence(state, effects);
+    return;
+  }
+  EndStalled(state, now, effects);
+}
+
+std::optional<Time> NextWatch(const AgentState& state) {
+  std::optional<Time> earliest = state.queue.EarliestDeadline();
+  if (state.lifecycle.stage() != ServerStage::kAway) {
+    KeepEarliest(earliest, state.server_heard + state.options.silence.server);
+  }
+  for (const auto& [id, request] : state.running.all()) {
+    KeepEarliest(earliest, request.last_progress + BoundOf(state, request));
+  }
+  return earliest;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/scheduling/watcher.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <optional>
+
+#include "core/scheduling/agent_state.h"
+#include "core/scheduling/effects.h"
+
+namespace coltsfootfork {
+
+// Acts on deadlines that have passed and on silence of the server.
+void Watch(AgentState& state, Time now, Effects& effects);
+
+// When the next deadline or bound on silence passes.
+std::optional<Time> NextWatch(const AgentState& state);
+
+}  // namespace coltsfootfork
