--- a/include/coltsfootfork/core/configuration/configuration_follower.h
+++ b/include/coltsfootfork/core/configuration/configuration_follower.h
@@ -76,6 +76,10 @@
   // The fetch to send now, if one is due.
   std::optional<FetchState> Tick(Time now);
 
+  // What this process can give to a peer that is cut off from control: the
+  // whole document, when it is newer than the peer's. It confirms nothing.
+  FetchStateReply ReplyToPeer(const FetchState& fetch) const;
+
   // Why new requests must be refused as not run, or nothing.
   std::optional<Reason> RefusalReason(Time now) const;
 
--- a/src/core/configuration/configuration_follower.cc
+++ b/src/core/configuration/configuration_follower.cc
@@ -128,6 +128,16 @@
   return FetchState{in_force(), directory_version_, want_whole_};
 }
 
+FetchStateReply ConfigurationFollower::ReplyToPeer(
+    const FetchState& fetch) const {
+  FetchStateReply reply;
+  reply.revision = in_force();
+  if (fetch.have_revision >= in_force()) return reply;
+  reply.payload = document_;
+  reply.digest = digest_;
+  return reply;
+}
+
 std::optional<Reason> ConfigurationFollower::RefusalReason(Time now) const {
   if (rules_ == nullptr) return Reason::kNotConfigured;
   if (!confirmed_at_.has_value()) return Reason::kRevisionUnconfirmed;
