--- a/tests/core/configuration/hostile_document_test.cc
+++ b/tests/core/configuration/hostile_document_test.cc
@@ -50,7 +50,8 @@
   CollectNodes(document, nodes);
   Json& node = *nodes[random() % nodes.size()];
   if (node.is_object() && !node.empty() && random() % 2 == 0) {
-    node.erase(std::next(node.begin(), random() % node.size()));
+    const auto place = static_cast<std::ptrdiff_t>(random() % node.size());
+    node.erase(std::next(node.begin(), place));
   } else if (node.is_object()) {
     node["~unknown/" + std::to_string(random() % 3)] = RandomValue(random);
   } else if (node.is_array() && !node.empty()) {
--- a/tests/core/control_state/control_fixture.h
+++ b/tests/core/control_state/control_fixture.h
@@ -14,8 +14,9 @@
 // A document of its own for each change, in canonical form.
 inline std::string DocumentOf(const std::string& change_id) {
   unsigned number = 0;
-  for (const char c : change_id)
+  for (const char c : change_id) {
     number = number * 31 + static_cast<unsigned>(c);
+  }
   auto document = SampleDocument();
   document["rules"]["claim_retention_s"] = 1000 + number % 1000;
   document["inventory"]["services"].push_back({{"id", change_id}});
