--- /dev/null
+++ b/src/cli/apply_command.cc
@@ -0,0 +1,80 @@
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "cli/admin_client.h"
+#include "cli/commands.h"
+#include "cli/files.h"
+#include "cli/help_pages.h"
+#include "coltsfootfork/core/configuration/parse_configuration.h"
+#include "shell/net/fleet_handshake.h"
+
+namespace coltsfootfork {
+namespace {
+
+constexpr char kConfigurationPath[] = "/admin/v1/configuration";
+constexpr int kOk = 200;
+constexpr int kConflict = 412;
+
+ExitCode NoAnswer(const HttpFetchResult& result) {
+  if (result.response) {
+    std::cerr << result.response->body;
+  } else {
+    std::cerr << "no answer: " << result.problem << "\n";
+  }
+  return ExitCode::kNoAnswer;
+}
+
+ExitCode Report(const HttpFetchResult& result, const std::string& change_id) {
+  if (!result.response) return NoAnswer(result);
+  const HttpResponse& response = *result.response;
+  if (response.status == kOk) {
+    const auto answer = nlohmann::json::parse(response.body, nullptr, false);
+    std::cout << "accepted as revision " << answer.value("revision", 0ULL)
+              << " (change id " << change_id << ")\n";
+    return ExitCode::kSuccess;
+  }
+  if (response.status == kConflict) {
+    const auto answer = nlohmann::json::parse(response.body, nullptr, false);
+    std::cerr << "not accepted: revision " << answer.value("revision", 0ULL)
+              << " is in force, by change id "
+              << answer.value("change_id", std::string()) << "\n";
+    return ExitCode::kConflict;
+  }
+  std::cerr << response.body;
+  constexpr int kUnavailable = 503;
+  return response.status == kUnavailable ? ExitCode::kNoAnswer
+                                         : ExitCode::kFailed;
+}
+
+}  // namespace
+
+ExitCode ExecuteApply(const std::vector<std::string>& words) {
+  const Arguments arguments(kApplyHelp, words);
+  if (arguments.exit_code()) return *arguments.exit_code();
+  const std::string document = ReadTextFile(arguments.Text("<file>"));
+  Findings findings;
+  if (!ParseConfiguration(document, findings)) {
+    std::cerr << findings.ToText();
+    return ExitCode::kFailed;
+  }
+  const AdminClient client(arguments.Text("--admin"),
+                           arguments.Text("--token-file"));
+  std::string revision = arguments.Text("--revision");
+  if (revision.empty()) {
+    const HttpFetchResult current =
+        client.FetchUntilAnswered("GET", kConfigurationPath, {}, "");
+    if (!current.response || current.response->status != kOk) {
+      return NoAnswer(current);
+    }
+    revision = FieldOf(*current.response, "ETag");
+  }
+  std::string change_id = arguments.Text("--change-id");
+  if (change_id.empty()) change_id = MakeNonce();
+  return Report(
+      client.FetchUntilAnswered(
+          "PUT", kConfigurationPath,
+          {{"If-Match", revision}, {"Change-Id", change_id}}, document),
+      change_id);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/cli/help_pages.h
@@ -0,0 +1,14 @@
+#pragma once
+
+// The help pages, one a subcommand. docopt reads the options from them.
+namespace coltsfootfork {
+
+extern const char kMainHelp[];
+extern const char kRunHelp[];
+extern const char kCheckHelp[];
+extern const char kApplyHelp[];
+extern const char kDiffHelp[];
+extern const char kStatusHelp[];
+extern const char kVersionHelp[];
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,49 @@
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "cli/commands.h"
+#include "cli/help_pages.h"
+
+namespace coltsfootfork {
+namespace {
+
+using Command = ExitCode (*)(const std::vector<std::string>& words);
+
+struct NamedCommand {
+  const char* name;
+  Command command;
+};
+
+constexpr NamedCommand kCommands[] = {
+    {"run", ExecuteRun},         {"check", ExecuteCheck},
+    {"apply", ExecuteApply},     {"diff", ExecuteDiff},
+    {"status", ExecuteStatus},  
+    {"version", ExecuteVersion},
+};
+
+ExitCode Main(const std::vector<std::string>& words) {
+  if (words.empty() || words.front() == "--help" || words.front() == "help") {
+    (words.empty() ? std::cerr : std::cout) << kMainHelp;
+    return words.empty() ? ExitCode::kUsage : ExitCode::kSuccess;
+  }
+  for (const NamedCommand& named : kCommands) {
+    if (words.front() == named.name) return named.command(words);
+  }
+  std::cerr << "unknown command: " << words.front() << "\n\n" << kMainHelp;
+  return ExitCode::kUsage;
+}
+
+}  // namespace
+}  // namespace coltsfootfork
+
+int main(int argc, char** argv) {
+  try {
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return static_cast<int>(coltsfootfork::Main(words));
+  } catch (const std::exception& error) {
+    std::cerr << "coltsfootfork: " << error.what() << "\n";
+    return static_cast<int>(coltsfootfork::ExitCode::kFailed);
+  }
+}
--- a/src/core/configuration/parse_configuration.cc
+++ b/src/core/configuration/parse_configuration.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bounded_findings.h"
+#include "coltsfootfork/core/configuration/configuration_keys.h"
 #include "document_reader.h"
 #include "json_text.h"
 #include "reference_check.h"
@@ -17,7 +18,7 @@
   std::optional<Configuration> configuration;
   const auto document = ReadJsonText(json_text, bounded);
   if (document.has_value()) {
-    CheckShape(*document, bounded);
+    CheckShape(*document, ConfigurationKeys(), bounded);
     configuration = ReadDocument(*document);
     CheckReferences(*configuration, bounded);
   }
--- a/src/core/configuration/shape_check.cc
+++ b/src/core/configuration/shape_check.cc
@@ -61,9 +61,9 @@
   std::map<std::string, KeyNode, std::less<>> members;
 };
 
-KeyNode BuildTree() {
+KeyNode BuildTree(const std::vector<ConfigurationKey>& keys) {
   KeyNode root;
-  for (const ConfigurationKey& key : ConfigurationKeys()) {
+  for (const ConfigurationKey& key : keys) {
     KeyNode* node = &root;
     std::string_view rest = key.path;
     while (!rest.empty()) {
@@ -77,6 +77,10 @@
   return root;
 }
 
+bool IsOutside(double number, const ConfigurationKey& key) {
+  return number < key.minimum || number > key.maximum;
+}
+
 class ShapeCheck {
  public:
   explicit ShapeCheck(BoundedFindings& findings) : findings_(findings) {}
@@ -118,7 +122,7 @@
                  const std::string& place) {
     if (!value.is_array()) return findings_.Add(place, "must be a list");
     const auto size = static_cast<double>(value.size());
-    if (size < node.key->minimum || size > node.key->maximum) {
+    if (IsOutside(size, *node.key)) {
       findings_.Add(place, "must have " + Range(*node.key) + " elements");
     }
     const KeyNode& element = node.members.find("*")->second;
@@ -134,7 +138,7 @@
     }
     if (!value.is_number()) return findings_.Add(place, "must be a number");
     const auto number = value.get<double>();
-    if (number < key.minimum || number > key.maximum) {
+    if (IsOutside(number, key)) {
       findings_.Add(place, "must be " + Range(key));
     }
   }
@@ -153,7 +157,7 @@
       findings_.Add(place, "must be one of " + std::string(key.choices) +
                                ", not \"" + Excerpt(text) + "\"");
     } else if (key.kind == ValueKind::kText &&
-               static_cast<double>(text.size()) > key.maximum) {
+               IsOutside(static_cast<double>(text.size()), key)) {
       findings_.Add(place, "must have " + Range(key) + " bytes");
     }
   }
@@ -167,8 +171,9 @@
 
 }  // namespace
 
-void CheckShape(const Json& document, BoundedFindings& findings) {
-  const KeyNode root = BuildTree();
+void CheckShape(const Json& document, const std::vector<ConfigurationKey>& keys,
+                BoundedFindings& findings) {
+  const KeyNode root = BuildTree(keys);
   ShapeCheck(findings).Check(document, root, "");
 }
 
--- a/src/core/configuration/shape_check.h
+++ b/src/core/configuration/shape_check.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <vector>
 
 #include "bounded_findings.h"
+#include "coltsfootfork/core/configuration/configuration_keys.h"
 
 namespace coltsfootfork {
 
-// Checks a document against the table of keys: unknown and missing keys, kinds
+// Checks a document against a table of keys: unknown and missing keys, kinds
 // of values, and ranges.
-void CheckShape(const nlohmann::json& document, BoundedFindings& findings);
+void CheckShape(const nlohmann::json& document,
+                const std::vector<ConfigurationKey>& keys,
+                BoundedFindings& findings);
 
 }  // namespace coltsfootfork
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -33,14 +33,14 @@
       value.find_first_of(" \"=\n\r\t\\") == std::string::npos) {
     return value;
   }
-  return nlohmann::json(value).dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json(value).dump(-1, ' ', false,
+                                    nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace
 
-std::initializer_list<EventInfo> AllEvents() {
-  static constexpr std::initializer_list<EventInfo> kEvents = {
+const std::vector<EventInfo>& AllEvents() {
+  static const std::vector<EventInfo> kEvents = {
       {Event::kStarted, "started"},
       {Event::kListening, "listening"},
       {Event::kStopping, "stopping"},
@@ -56,6 +56,8 @@
       {Event::kServerAnnounced, "server_announced"},
       {Event::kServerLost, "server_lost"},
       {Event::kServerDraining, "server_draining"},
+      {Event::kOrderRefused, "order_refused"},
+      {Event::kServerFinding, "server_finding"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
       {Event::kBecameLeader, "became_leader"},
@@ -63,6 +65,7 @@
       {Event::kReplicaFailed, "replica_failed"},
       {Event::kStorageFailed, "storage_failed"},
       {Event::kSnapshotTaken, "snapshot_taken"},
+      {Event::kReplicaChanged, "replica_changed"},
   };
   return kEvents;
 }
@@ -88,7 +91,7 @@
 }
 
 void Log(LogLevel level, Event event,
-              std::initializer_list<EventField> fields) {
+         std::initializer_list<EventField> fields) {
   std::string line = std::to_string(static_cast<int>(event));
   line += ' ';
   line += EventName(event);
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -4,6 +4,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace coltsfootfork {
 
@@ -25,6 +26,8 @@
   kServerAnnounced = 4001,
   kServerLost = 4002,
   kServerDraining = 4003,
+  kOrderRefused = 4004,
+  kServerFinding = 4005,
   kRequestRefused = 5001,
   kRequestIncomplete = 5002,
   kBecameLeader = 6001,
@@ -32,6 +35,7 @@
   kReplicaFailed = 6003,
   kStorageFailed = 6004,
   kSnapshotTaken = 6005,
+  kReplicaChanged = 6006,
 };
 
 // One named value of an event's line.
@@ -45,7 +49,7 @@
   Event event;
   std::string_view name;
 };
-std::initializer_list<EventInfo> AllEvents();
+const std::vector<EventInfo>& AllEvents();
 
 // The event's name: snake case, as in docs/events.md.
 std::string_view EventName(Event event);
@@ -56,7 +60,6 @@
 void StartLog(LogLevel lowest);
 
 // Writes one line: number, name and the fields as NAME=VALUE.
-void Log(LogLevel level, Event event,
-              std::initializer_list<EventField> fields);
+void Log(LogLevel level, Event event, std::initializer_list<EventField> fields);
 
 }  // namespace coltsfootfork
--- a/src/shell/net/fleet_handshake.cc
+++ b/src/shell/net/fleet_handshake.cc
@@ -35,14 +35,6 @@
   return ToHex(bytes.data(), bytes.size());
 }
 
-std::string Sha256Hex(const std::string& text) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
-             nullptr);
-  return ToHex(digest.data(), size);
-}
-
 FleetHandshake::FleetHandshake(LinkSide side, ProcessId self,
                                std::string fleet_key, std::string nonce)
     : side_(side),
--- a/src/shell/net/fleet_handshake.h
+++ b/src/shell/net/fleet_handshake.h
@@ -10,9 +10,6 @@
 // Random text of 128 bits in hexadecimal digits, from the system's generator.
 std::string MakeNonce();
 
-// SHA-256 in lower-case hexadecimal digits.
-std::string Sha256Hex(const std::string& text);
-
 enum class LinkSide { kAccepting, kConnecting };
 
 // Shows each side of a link that the other knows the fleet key. The proof
--- a/src/shell/process/admin_api.cc
+++ b/src/shell/process/admin_api.cc
@@ -96,14 +96,16 @@
   }
   const std::string_view change_id = http.Field("Change-Id");
   if (change_id.empty() || change_id.size() > kMaxChangeIdBytes) {
-    return exchange->Respond(
-        BadRequest("Change-Id: must be 1 to " +
-                   std::to_string(kMaxChangeIdBytes) +
-                   " bytes that name this change"));
+    return exchange->Respond(BadRequest("Change-Id: must be 1 to " +
+                                        std::to_string(kMaxChangeIdBytes) +
+                                        " bytes that name this change"));
   }
+  PutConfiguration put;
+  put.expected = *expected;
+  put.change_id = std::string(change_id);
+  put.document = http.body;
   context_.control.Call(
-      PutConfiguration{*expected, std::string(change_id), http.body},
-      kControlTimeout,
+      put, kControlTimeout,
       [exchange](const std::optional<ControlReply>& reply) {
         exchange->Respond(PutResponse(reply));
       },
--- a/src/shell/process/admin_documents.cc
+++ b/src/shell/process/admin_documents.cc
@@ -20,9 +20,10 @@
 }
 
 HttpResponse NoLeader(const std::string& detail) {
-  HttpResponse response = JsonResponse(
-      503, {{"title", "no_quorum"}, {"reason", "no_quorum"},
-            {"status", 503}, {"detail", detail}});
+  HttpResponse response = JsonResponse(503, {{"title", "no_quorum"},
+                                             {"reason", "no_quorum"},
+                                             {"status", 503},
+                                             {"detail", detail}});
   response.content_type = "application/problem+json";
   response.fields.push_back({"Retry-After", "1"});
   return response;
@@ -38,15 +39,12 @@
 
 json ProcessDocument(const ProcessStatus& status, Revision newest) {
   const RenewLease& last = status.last;
-  json document = {{"process", last.process.value()},
-                   {"roles", last.roles},
-                   {"availability_zone", last.zone.value()},
-                   {"address", last.address},
-                   {"incarnation", last.incarnation},
-                   {"revision", last.in_force},
-                   {"in_force", last.in_force == newest},
-                   {"stopping", last.stopping},
-                   {"lease_left_ms", status.lease_left.count()}};
+  json document = {
+      {"process", last.process.value()},           {"roles", last.roles},
+      {"availability_zone", last.zone.value()},    {"address", last.address},
+      {"incarnation", last.incarnation},           {"revision", last.in_force},
+      {"in_force", last.in_force == newest},       {"stopping", last.stopping},
+      {"lease_left_ms", status.lease_left.count()}};
   if (last.server.empty()) return document;
   json services = json::array();
   for (const ServiceId& service : last.services) {
@@ -82,8 +80,7 @@
 HttpResponse PutResponse(const std::optional<ControlReply>& reply) {
   const auto* put = Find<PutConfigurationReply>(reply);
   if (put == nullptr || put->verdict == PutVerdict::kNoQuorum) {
-    return NoLeader(
-        "the outcome is not known: send the same Change-Id again");
+    return NoLeader("the outcome is not known: send the same Change-Id again");
   }
   switch (put->verdict) {
     case PutVerdict::kAccepted:
--- a/src/shell/process/agent_role.cc
+++ b/src/shell/process/agent_role.cc
@@ -34,7 +34,7 @@
             OnEngineMessage(std::move(message));
           },
           [](const Finding& finding) {
-            Log(LogLevel::kWarning, Event::kInventoryMismatch,
+            Log(LogLevel::kWarning, Event::kServerFinding,
                 {{"place", finding.place}, {"problem", finding.problem}});
           }) {}
 
@@ -103,7 +103,7 @@
 
 void AgentRole::CarryOut(const OrderSettled& effect) {
   if (effect.result.applied) return;
-  Log(LogLevel::kWarning, Event::kServerLost,
+  Log(LogLevel::kWarning, Event::kOrderRefused,
       {{"server", server_.server.value()}, {"problem", effect.result.problem}});
 }
 
--- a/src/shell/process/caller_answer.cc
+++ b/src/shell/process/caller_answer.cc
@@ -40,8 +40,7 @@
 }
 
 void CallerAnswer::End(const std::string& finish_reason,
-                       std::uint32_t prompt_tokens,
-                       std::uint32_t token_count) {
+                       std::uint32_t prompt_tokens, std::uint32_t token_count) {
   if (stream_) {
     StartStream();
     exchange_->WriteChunk(Event(EventText("", finish_reason)) +
--- a/src/shell/process/caller_request_reader.cc
+++ b/src/shell/process/caller_request_reader.cc
@@ -50,8 +50,7 @@
 // the stack.
 json ParseBounded(const std::string& text) {
   bool too_deep = false;
-  const auto depth_guard = [&too_deep](int depth, json::parse_event_t,
-                                       json&) {
+  const auto depth_guard = [&too_deep](int depth, json::parse_event_t, json&) {
     too_deep = too_deep || depth > kMaxDepth;
     return !too_deep;
   };
@@ -122,9 +121,8 @@
   read.request.service = ServiceId(std::string(rest.substr(0, slash)));
   read.request.kind = RequestKind::kPlainCall;
   read.request.method = http.method;
-  read.request.target = slash == std::string_view::npos
-                            ? "/"
-                            : std::string(rest.substr(slash));
+  read.request.target =
+      slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
   read.request.content_type = std::string(http.Field("Content-Type"));
   read.request.body = http.body;
   return {std::move(read), {}};
--- a/src/shell/process/control_client.cc
+++ b/src/shell/process/control_client.cc
@@ -23,8 +23,8 @@
                          std::chrono::milliseconds timeout, Done done,
                          Time now) {
   const std::uint64_t number = next_call_++;
-  PendingCall call{EncodeControlRequest(request), now + timeout, now,
-                   false, std::move(done)};
+  PendingCall call{EncodeControlRequest(request), now + timeout, now, false,
+                   std::move(done)};
   Send(number, call, now);
   calls_.emplace(number, std::move(call));
 }
--- /dev/null
+++ b/src/shell/process/control_role.cc
@@ -0,0 +1,252 @@
+#include "shell/process/control_role.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "coltsfootfork/core/control_state/control_codec.h"
+#include "coltsfootfork/core/replication/replica_codec.h"
+#include "shell/log/event.h"
+
+namespace coltsfootfork {
+namespace {
+
+namespace leaf = boost::leaf;
+
+// Calls that may wait for the log at one time.
+constexpr std::size_t kMaxWaitingCalls = 8192;
+
+std::chrono::milliseconds WallClock() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::unique_ptr<DiskLog> OpenDisk(const std::string& folder) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::unique_ptr<DiskLog>> {
+        DiskLogOptions options;
+        options.folder = folder;
+        return DiskLog::Open(std::move(options));
+      },
+      [](const StorageError& error) -> std::unique_ptr<DiskLog> {
+        throw std::runtime_error(error.place + ": " + error.problem);
+      },
+      [&]() -> std::unique_ptr<DiskLog> {
+        throw std::runtime_error(folder + ": cannot be opened");
+      });
+}
+
+// True when the write is synced; else the fault is logged.
+bool WriteToDisk(DiskLog& disk, const Persist& persist) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(disk.Write(persist));
+        return true;
+      },
+      [](const StorageError& error) {
+        Log(LogLevel::kError, Event::kStorageFailed,
+            {{"place", error.place}, {"problem", error.problem}});
+        return false;
+      },
+      [] {
+        Log(LogLevel::kError, Event::kStorageFailed, {});
+        return false;
+      });
+}
+
+ReplicaOptions MakeOptions(const Settings& settings) {
+  ReplicaOptions options;
+  options.self = settings.process;
+  options.zone = settings.zone;
+  options.seeds = settings.control->founders;
+  if (options.seeds.empty()) options.seeds = {settings.process};
+  return options;
+}
+
+}  // namespace
+
+ControlRole::ControlRole(ProcessContext& context, std::uint64_t seed)
+    : context_(context),
+      disk_(OpenDisk(context.settings.data_folder)),
+      service_(state_) {
+  RecoveredState recovered = disk_->TakeRecovered();
+  if (recovered.snapshot && !state_.Restore(recovered.snapshot->bytes)) {
+    throw std::runtime_error(context.settings.data_folder +
+                             ": the snapshot's content is damaged");
+  }
+  replica_ =
+      std::make_unique<Replica>(MakeOptions(context.settings),
+                                std::move(recovered), seed, MonotonicNow());
+  for (const ControlSeed& other : context.settings.control_seeds) {
+    if (other.process == context.settings.process) continue;
+    context_.hub.Keep(other.process, other.address);
+  }
+}
+
+void ControlRole::OnCall(const ProcessId& peer, const ControlCall& call) {
+  const Time now = MonotonicNow();
+  const LeaderView view = View(now);
+  if (!view.holds_lease) return SendOn(peer, call.call);
+  const auto request = DecodeControlRequest(call.request);
+  if (!request) return SendOn(peer, call.call);
+  ServiceAnswer answer = service_.Handle(*request, view, WallClock(), now);
+  if (const auto* reply = std::get_if<ControlReply>(&answer)) {
+    return Answer(peer, call.call, *reply);
+  }
+  if (waiting_.size() >= kMaxWaitingCalls) return SendOn(peer, call.call);
+  const ProposalId proposal = next_proposal_++;
+  waiting_[proposal] = {peer, call.call};
+  Input(Propose{proposal,
+                EncodeControlCommand(std::get<ControlCommand>(answer))});
+}
+
+void ControlRole::OnReplicaFrame(const ProcessId& peer,
+                                 const ReplicaFrame& frame) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(message, DecodeReplicaMessage(frame.message));
+        Input(ReplicaMessageReceived{peer, std::move(message)});
+        return {};
+      },
+      [&](const CodecError& error) {
+        Log(LogLevel::kWarning, Event::kReplicaFailed,
+            {{"peer", peer.value()},
+             {"place", error.place},
+             {"problem", error.problem}});
+      },
+      [] {});
+}
+
+void ControlRole::Tick(Time now) {
+  handling_ = true;
+  CarryOut(replica_->Tick(now));
+  handling_ = false;
+  HandleInputs();
+  service_.Tick(View(now), now);
+}
+
+LeaderView ControlRole::View(Time now) const {
+  return {replica_->HoldsLease(now), replica_->leader().value_or(ProcessId()),
+          replica_->term()};
+}
+
+void ControlRole::Answer(const ProcessId& peer, std::uint64_t call,
+                         const ControlReply& reply) {
+  ControlAnswer answer;
+  answer.call = call;
+  answer.acting = true;
+  answer.leader = context_.settings.process;
+  answer.reply = EncodeControlReply(reply);
+  context_.hub.Send(peer, LinkDirection::kIncoming, std::move(answer));
+}
+
+void ControlRole::SendOn(const ProcessId& peer, std::uint64_t call) {
+  ControlAnswer answer;
+  answer.call = call;
+  answer.leader = replica_->leader().value_or(ProcessId());
+  context_.hub.Send(peer, LinkDirection::kIncoming, std::move(answer));
+}
+
+void ControlRole::Input(ReplicaInput input) {
+  inputs_.push_back(std::move(input));
+  if (!handling_) HandleInputs();
+}
+
+void ControlRole::HandleInputs() {
+  // Effects of one input are carried out whole before the next is handled.
+  handling_ = true;
+  while (!inputs_.empty()) {
+    const ReplicaInput next = std::move(inputs_.front());
+    inputs_.pop_front();
+    CarryOut(replica_->Handle(next, MonotonicNow()));
+  }
+  handling_ = false;
+}
+
+void ControlRole::CarryOut(std::vector<ReplicaEffect> effects) {
+  for (const ReplicaEffect& effect : effects) {
+    std::visit([this](const auto& one) { CarryOut(one); }, effect);
+  }
+}
+
+void ControlRole::CarryOut(const SendReplicaMessage& effect) {
+  ReplicaFrame frame{EncodeReplicaMessage(effect.message)};
+  if (context_.hub.Send(effect.to, LinkDirection::kOutgoing, frame)) return;
+  context_.hub.Send(effect.to, LinkDirection::kIncoming, std::move(frame));
+}
+
+void ControlRole::CarryOut(const Persist& effect) {
+  if (WriteToDisk(*disk_, effect)) {
+    Input(PersistDone{effect.token});
+  } else {
+    Input(PersistFailed{effect.token});
+  }
+}
+
+void ControlRole::CarryOut(const ApplyCommand& effect) {
+  const auto command = DecodeControlCommand(effect.command);
+  // What was committed was encoded by a leader: a later version's unknown
+  // request changes nothing here.
+  last_reply_ = command ? state_.Apply(*command) : ControlReply();
+  AnnounceRevision();
+}
+
+void ControlRole::CarryOut(const ApplySnapshot& effect) {
+  if (!state_.Restore(effect.bytes)) {
+    Log(LogLevel::kError, Event::kStorageFailed,
+        {{"problem", "a snapshot's content is damaged"}});
+    return;
+  }
+  AnnounceRevision();
+}
+
+void ControlRole::CarryOut(const ProposalDone& effect) {
+  const auto waiting = waiting_.find(effect.proposal);
+  if (waiting == waiting_.end()) return;
+  const WaitingCall call = waiting->second;
+  waiting_.erase(waiting);
+  if (effect.outcome == ProposalOutcome::kCommitted) {
+    return Answer(call.peer, call.call, last_reply_);
+  }
+  // Asked again, the request is answered by what became of it.
+  SendOn(call.peer, call.call);
+}
+
+void ControlRole::CarryOut(const VoterChangeDone&) {}
+
+void ControlRole::CarryOut(const TakeSnapshot& effect) {
+  Log(LogLevel::kInfo, Event::kSnapshotTaken,
+      {{"index", std::to_string(effect.index)}});
+  Input(SnapshotTaken{effect.index, state_.Snapshot()});
+}
+
+void ControlRole::CarryOut(const LogEvent& effect) {
+  const std::string term = std::to_string(effect.term);
+  switch (effect.kind) {
+    case ReplicaEventKind::kLeaderElected:
+      return Log(LogLevel::kInfo, Event::kBecameLeader,
+                 {{"leader", effect.process.value()}, {"term", term}});
+    case ReplicaEventKind::kLeaderLost:
+      return Log(LogLevel::kInfo, Event::kLostLeadership, {{"term", term}});
+    case ReplicaEventKind::kHalted:
+      return Log(LogLevel::kError, Event::kReplicaFailed, {{"term", term}});
+    default:
+      return Log(LogLevel::kInfo, Event::kReplicaChanged,
+                 {{"kind", std::to_string(static_cast<int>(effect.kind))},
+                  {"term", term},
+                  {"index", std::to_string(effect.index)},
+                  {"replica", effect.process.value()}});
+  }
+}
+
+void ControlRole::AnnounceRevision() {
+  if (state_.revision() <= announced_) return;
+  announced_ = state_.revision();
+  context_.follower.OnRevisionSeen(announced_, MonotonicNow());
+  // Any frame carries the revision: those who ask this replica hear at once.
+  context_.hub.SendToAll(LinkDirection::kIncoming, ControlAnswer());
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/process/control_role.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "coltsfootfork/core/control_state/control_service.h"
+#include "coltsfootfork/core/control_state/control_state.h"
+#include "coltsfootfork/core/replication/replica.h"
+#include "coltsfootfork/shell/storage/disk_log.h"
+#include "shell/process/process_context.h"
+#include "wire/envelope.h"
+
+namespace coltsfootfork {
+
+// The control role: one replica of the control state. It answers what other
+// processes ask of control while it leads, and sends them on while it does
+// not.
+class ControlRole {
+ public:
+  // Opens the data folder; throws std::runtime_error with the place when it
+  // cannot be used.
+  ControlRole(ProcessContext& context, std::uint64_t seed);
+
+  // Answers over the incoming link of the peer, now or once it is committed.
+  void OnCall(const ProcessId& peer, const ControlCall& call);
+  void OnReplicaFrame(const ProcessId& peer, const ReplicaFrame& frame);
+  void Tick(Time now);
+
+ private:
+  // A call that waits for its command to be committed.
+  struct WaitingCall {
+    ProcessId peer;
+    std::uint64_t call = 0;
+  };
+
+  LeaderView View(Time now) const;
+  void Answer(const ProcessId& peer, std::uint64_t call,
+              const ControlReply& reply);
+  // Lets the caller ask the leader, or ask again.
+  void SendOn(const ProcessId& peer, std::uint64_t call);
+  void Input(ReplicaInput input);
+  void HandleInputs();
+  void CarryOut(std::vector<ReplicaEffect> effects);
+  void CarryOut(const SendReplicaMessage& effect);
+  void CarryOut(const Persist& effect);
+  void CarryOut(const ApplyCommand& effect);
+  void CarryOut(const ApplySnapshot& effect);
+  void CarryOut(const ProposalDone& effect);
+  void CarryOut(const VoterChangeDone& effect);
+  void CarryOut(const TakeSnapshot& effect);
+  void CarryOut(const LogEvent& effect);
+  void AnnounceRevision();
+
+  ProcessContext& context_;
+  std::unique_ptr<DiskLog> disk_;
+  ControlState state_;
+  ControlService service_;
+  std::unique_ptr<Replica> replica_;
+  // Inputs that effects have led to, in order.
+  std::deque<ReplicaInput> inputs_;
+  bool handling_ = false;
+  std::uint64_t next_proposal_ = 1;
+  std::map<ProposalId, WaitingCall> waiting_;
+  ControlReply last_reply_;
+  Revision announced_ = 0;
+};
+
+}  // namespace coltsfootfork
--- a/src/shell/process/peer_hub.cc
+++ b/src/shell/process/peer_hub.cc
@@ -59,9 +59,9 @@
   const auto found = outgoing_.find(peer);
   if (found != outgoing_.end() && found->second.address == address) return;
   Drop(peer);
-  outgoing_.emplace(peer, Outgoing{address, nullptr,
-                                   boost::asio::steady_timer(io_), kFirstPause,
-                                   0});
+  outgoing_.emplace(peer,
+                    Outgoing{address, nullptr, boost::asio::steady_timer(io_),
+                             kFirstPause, 0});
   Open(peer);
 }
 
@@ -87,6 +87,16 @@
   return true;
 }
 
+void PeerHub::SendToAll(LinkDirection direction, const Payload& payload) {
+  if (direction == LinkDirection::kIncoming) {
+    for (const auto& [peer, number] : incoming_) Send(peer, direction, payload);
+    return;
+  }
+  for (const auto& [peer, outgoing] : outgoing_) {
+    Send(peer, direction, payload);
+  }
+}
+
 void PeerHub::Stop() {
   stopping_ = true;
   error_code ignored;
--- a/src/shell/process/peer_hub.h
+++ b/src/shell/process/peer_hub.h
@@ -55,6 +55,9 @@
   // Sends over the link of that direction. False when it is not up.
   bool Send(const ProcessId& peer, LinkDirection direction, Payload payload);
 
+  // Sends over every link of that direction that is up.
+  void SendToAll(LinkDirection direction, const Payload& payload);
+
   // Stops listening and closes every link once what is queued has left.
   void Stop();
   // After Stop: whether every link is closed.
--- a/src/shell/process/process.cc
+++ b/src/shell/process/process.cc
@@ -52,8 +52,7 @@
            ParseEndpoint(settings_.peer_listen).value(), MakeHubEvents()),
       control_client_(
           hub_, SeedsOf(settings_, FormatEndpoint(hub_.local_endpoint()))),
-      context_{io,        settings_, hub_, control_client_,
-               follower_, metrics_},
+      context_{io, settings_, hub_, control_client_, follower_, metrics_},
       signals_(io, SIGTERM, SIGINT),
       tick_(io) {
   if (settings_.control) {
@@ -76,10 +75,9 @@
 Process::~Process() = default;
 
 std::string Process::AddressLine() const {
-  nlohmann::json line = {
-      {"process", settings_.process.value()},
-      {"peer", FormatEndpoint(hub_.local_endpoint())},
-      {"admin", FormatEndpoint(admin_->local_endpoint())}};
+  nlohmann::json line = {{"process", settings_.process.value()},
+                         {"peer", FormatEndpoint(hub_.local_endpoint())},
+                         {"admin", FormatEndpoint(admin_->local_endpoint())}};
   if (entry_) line["entry"] = FormatEndpoint(entry_->local_endpoint());
   if (agent_) line["engine"] = agent_->engine_address();
   return line.dump();
@@ -151,11 +149,11 @@
 void Process::RenewLeaseWhenDue(Time now) {
   if (renewing_) return;
   RenewLease renewal = DescribeSelf();
-  const bool changed = renewal.in_force != renewed_.in_force ||
-                       renewal.stopping != renewed_.stopping ||
-                       renewal.server_incarnation !=
-                           renewed_.server_incarnation ||
-                       renewal.draining != renewed_.draining;
+  const bool changed =
+      renewal.in_force != renewed_.in_force ||
+      renewal.stopping != renewed_.stopping ||
+      renewal.server_incarnation != renewed_.server_incarnation ||
+      renewal.draining != renewed_.draining;
   if (!changed && renewed_at_ && now < *renewed_at_ + kRenewInterval) return;
   renewing_ = true;
   renewed_at_ = now;
--- a/src/shell/process/settings.cc
+++ b/src/shell/process/settings.cc
@@ -33,9 +33,9 @@
 
 // What the table of keys cannot say.
 void CheckMeaning(const json& document, BoundedFindings& findings) {
-  for (const char* pointer : {"/peer/listen", "/peer/advertise",
-                              "/admin/listen", "/entry/listen",
-                              "/agent/engine_listen"}) {
+  for (const char* pointer :
+       {"/peer/listen", "/peer/advertise", "/admin/listen", "/entry/listen",
+        "/agent/engine_listen"}) {
     CheckAddressAt(document, pointer, findings);
   }
   const bool has_role = document.contains("entry") ||
--- /dev/null
+++ b/tests/shell/log/event_test.cc
@@ -0,0 +1,40 @@
+#include "shell/log/event.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace coltsfootfork {
+namespace {
+
+// The rows of the catalogue, each as "NUMBER NAME".
+std::set<std::string> CatalogueRows() {
+  std::ifstream file(EVENT_CATALOGUE);
+  std::set<std::string> rows;
+  for (std::string line; std::getline(file, line);) {
+    std::istringstream words(line);
+    std::string bar;
+    std::string number;
+    std::string name;
+    words >> bar >> number >> bar >> name;
+    if (number.find_first_not_of("0123456789") != std::string::npos) continue;
+    if (!number.empty()) rows.insert(number + " " + name);
+  }
+  return rows;
+}
+
+BOOST_AUTO_TEST_CASE(CatalogueAndCodeListTheSameEvents) {
+  std::set<std::string> events;
+  for (const EventInfo& info : AllEvents()) {
+    events.insert(std::to_string(static_cast<int>(info.event)) + " " +
+                  std::string(info.name));
+  }
+  const std::set<std::string> rows = CatalogueRows();
+  BOOST_CHECK_EQUAL_COLLECTIONS(rows.begin(), rows.end(), events.begin(),
+                                events.end());
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/shell/net/http_server_test.cc
@@ -0,0 +1,109 @@
+#include "shell/net/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+
+#include "shell/net/http_client.h"
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+using boost::asio::ip::tcp;
+
+tcp::endpoint AnyPort() { return ParseEndpoint("127.0.0.1:0").value(); }
+
+// Sends raw bytes, closes its sending side and returns all that comes back.
+std::string Exchange(boost::asio::io_context& io, const tcp::endpoint& server,
+                     const std::string& bytes) {
+  tcp::socket socket(io);
+  socket.connect(server);
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  std::string answer;
+  char buffer[4096];
+  bool ended = false;
+  std::function<void()> read = [&] {
+    socket.async_read_some(boost::asio::buffer(buffer),
+                           [&](boost::system::error_code error, size_t size) {
+                             answer.append(buffer, size);
+                             ended = static_cast<bool>(error);
+                             if (!error) read();
+                           });
+  };
+  read();
+  while (!ended && io.run_one() > 0) {
+  }
+  return answer;
+}
+
+BOOST_AUTO_TEST_CASE(RequestAndAnswerComeWhole) {
+  boost::asio::io_context io;
+  HttpServer server(io, AnyPort(), {}, [](HttpRequest request, auto exchange) {
+    exchange->Respond({201,
+                       "text/plain",
+                       {},
+                       request.method + request.target + request.body});
+  });
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/path?query";
+  request.body = std::string(100000, 'x');
+  HttpFetchResult result;
+  HttpFetch(io, server.local_endpoint(), request, std::chrono::seconds(10),
+            [&](HttpFetchResult got) {
+              result = std::move(got);
+              server.Stop();
+            });
+  io.run();
+  BOOST_REQUIRE(result.response.has_value());
+  BOOST_TEST(result.response->status == 201);
+  BOOST_TEST(result.response->body == "PUT/path?query" + request.body);
+}
+
+BOOST_AUTO_TEST_CASE(TooLargeAndMalformedRequestsGetTheirStatus) {
+  boost::asio::io_context io;
+  HttpLimits limits;
+  limits.header_bytes = 1024;
+  limits.body_bytes = 1024;
+  int handled = 0;
+  HttpServer server(io, AnyPort(), limits,
+                    [&](const HttpRequest&, const auto&) { ++handled; });
+  const auto status = [&](const std::string& bytes) {
+    return Exchange(io, server.local_endpoint(), bytes).substr(9, 3);
+  };
+  BOOST_TEST(status("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n") ==
+             "413");
+  BOOST_TEST(status("GET / HTTP/1.1\r\nX: " + std::string(3000, 'y') +
+                    "\r\n\r\n") == "431");
+  BOOST_TEST(status("no HTTP at all\r\n\r\n") == "400");
+  BOOST_TEST(handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatClosesIsTold) {
+  boost::asio::io_context io;
+  bool gone = false;
+  std::shared_ptr<HttpExchange> kept;
+  HttpServer server(
+      io, AnyPort(), {},
+      [&](const HttpRequest&, std::shared_ptr<HttpExchange> exchange) {
+        kept = std::move(exchange);
+        kept->OnCallerGone([&] { gone = true; });
+      });
+  tcp::socket socket(io);
+  socket.connect(server.local_endpoint());
+  boost::asio::write(
+      socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  while (!kept && io.run_one() > 0) {
+  }
+  socket.close();
+  while (!gone && io.run_one() > 0) {
+  }
+  BOOST_TEST(gone);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/support/child_process.cc
@@ -0,0 +1,75 @@
+#include "support/child_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+namespace coltsfootfork {
+
+ChildProcess::ChildProcess(const std::string& program,
+                           const std::vector<std::string>& arguments,
+                           const std::string& log_file) {
+  std::vector<char*> words = {const_cast<char*>(program.c_str())};
+  for (const std::string& argument : arguments) {
+    words.push_back(const_cast<char*>(argument.c_str()));
+  }
+  words.push_back(nullptr);
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  constexpr mode_t kLogMode = 0644;
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                words.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(ends[1]);
+  output_ = ends[0];
+  if (error != 0) {
+    pid_ = -1;
+    throw std::runtime_error("cannot start " + program);
+  }
+}
+
+ChildProcess::~ChildProcess() {
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    Wait();
+  }
+  close(output_);
+}
+
+std::string ChildProcess::ReadLine() {
+  std::string line;
+  char c = 0;
+  while (read(output_, &c, 1) == 1 && c != '\n') line += c;
+  return line;
+}
+
+void ChildProcess::Signal(int signal) const { kill(pid_, signal); }
+
+int ChildProcess::Wait() {
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+long ChildProcess::StatusNumber(const std::string& name) const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string word;
+  while (status >> word) {
+    long number = 0;
+    if (word == name + ":" && status >> number) return number;
+  }
+  return -1;
+}
+
+}  // namespace coltsfootfork
