--- /dev/null
+++ b/src/core/replication/election.cc
@@ -0,0 +1,118 @@
+#include "core/replication/election.h"
+
+#include <algorithm>
+
+namespace coltsfootfork {
+
+bool Election::Tick(Time now) {
+  if (now < state_.election_due) return false;
+  const ReplicaRole role = state_.role();
+  const bool campaigns = role == ReplicaRole::kFollower ||
+                         role == ReplicaRole::kPreCandidate ||
+                         role == ReplicaRole::kCandidate;
+  if (!campaigns) return false;
+  StartPreVote(now);
+  return Count(now);
+}
+
+void Election::StartPreVote(Time now) {
+  state_.roles.Process(RoleEvent::kElectionDue);
+  state_.leader.reset();
+  state_.RestartElectionTimer(now);
+  granted_ = {state_.self};
+  AskVoters({true, state_.hard.term + 1, state_.log.last_index(),
+             state_.log.last_term()});
+}
+
+void Election::StartVote(Time now) {
+  state_.roles.Process(RoleEvent::kPreVoteWon);
+  state_.RestartElectionTimer(now);
+  ++state_.hard.term;
+  state_.hard.vote = state_.self;
+  state_.StageHardState();
+  own_vote_ = state_.outbox.Barrier();
+  granted_.clear();
+  AskVoters({false, state_.hard.term, state_.log.last_index(),
+             state_.log.last_term()});
+}
+
+void Election::AskVoters(const VoteRequest& request) {
+  for (const Member& member : state_.log.membership().members) {
+    if (!member.voter || member.id == state_.self) continue;
+    state_.SendSynced(member.id, request);
+  }
+}
+
+void Election::OnVoteRequest(const ReplicaId& from, const VoteRequest& request,
+                             bool leads, Time now) {
+  // A leader that is heard by a quorum is not disturbed, not even by a later
+  // term: its lease rests on this.
+  const bool bound = leads || state_.IsBoundByLease(now);
+  if (!request.pre_vote && !bound && request.term > state_.hard.term) {
+    state_.StepDown(request.term, now);
+  }
+  const bool granted = !bound && MayGrant(from, request);
+  if (granted && !request.pre_vote) {
+    state_.hard.vote = from;
+    state_.StageHardState();
+    state_.RestartElectionTimer(now);
+  }
+  const Term term =
+      granted && request.pre_vote ? request.term : state_.hard.term;
+  state_.SendSynced(from, VoteReply{request.pre_vote, term, granted});
+}
+
+bool Election::MayGrant(const ReplicaId& from,
+                        const VoteRequest& request) const {
+  const ReplicaLog& log = state_.log;
+  const bool as_new = request.last_term != log.last_term()
+                          ? request.last_term > log.last_term()
+                          : request.last_index >= log.last_index();
+  if (!as_new) return false;
+  if (request.pre_vote) return request.term > state_.hard.term;
+  if (request.term != state_.hard.term) return false;
+  return !state_.hard.vote || *state_.hard.vote == from;
+}
+
+bool Election::OnVoteReply(const ReplicaId& from, const VoteReply& reply,
+                           Time now) {
+  if (!reply.granted) {
+    if (reply.term > state_.hard.term) state_.StepDown(reply.term, now);
+    return false;
+  }
+  const ReplicaRole role = state_.role();
+  const bool fits = reply.pre_vote ? role == ReplicaRole::kPreCandidate &&
+                                         reply.term == state_.hard.term + 1
+                                   : role == ReplicaRole::kCandidate &&
+                                         reply.term == state_.hard.term;
+  if (!fits) return false;
+  granted_.insert(from);
+  return Count(now);
+}
+
+bool Election::OnPersisted(Time now) {
+  if (state_.role() != ReplicaRole::kCandidate) return false;
+  if (!state_.outbox.IsSynced(own_vote_)) return false;
+  granted_.insert(state_.self);
+  return Count(now);
+}
+
+bool Election::Count(Time now) {
+  if (!HasQuorum()) return false;
+  if (state_.role() == ReplicaRole::kPreCandidate) {
+    StartVote(now);
+    return false;
+  }
+  state_.roles.Process(RoleEvent::kVoteWon);
+  return true;
+}
+
+bool Election::HasQuorum() const {
+  const Membership& membership = state_.log.membership();
+  const auto votes = static_cast<std::size_t>(std::count_if(
+      granted_.begin(), granted_.end(),
+      [&](const ReplicaId& id) { return membership.IsVoter(id); }));
+  return votes >= membership.Quorum();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/replication/leadership.cc
@@ -0,0 +1,215 @@
+#include "core/replication/leadership.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace coltsfootfork {
+
+void Leadership::Start(Time now) {
+  active_ = true;
+  elected_at_ = now;
+  state_.leader = state_.self;
+  peers_.clear();
+  proposals_.clear();
+  uncommitted_bytes_ = 0;
+  first_of_term_ = state_.log.last_index() + 1;
+  state_.AppendEntry(
+      {first_of_term_, state_.hard.term, EntryKind::kNoOp, {}, {}});
+  state_.Emit(ReplicaEventKind::kLeaderElected, first_of_term_, {});
+  FollowMembership(now);
+  Broadcast(now);
+}
+
+void Leadership::Stop() {
+  active_ = false;
+  for (const auto& [index, proposal] : proposals_) {
+    state_.outbox.Emit(ProposalDone{proposal, ProposalOutcome::kLost, index});
+  }
+  proposals_.clear();
+  peers_.clear();
+}
+
+void Leadership::Tick(Time now) {
+  const auto heard = QuorumAcknowledged(now);
+  // Without a quorum for so long, another may lead: tell the callers.
+  const Time last = heard.value_or(elected_at_);
+  if (now >= last + 2 * state_.options.election_minimum) {
+    state_.StepDown(state_.hard.term, now);
+    return;
+  }
+  if (now >= next_heartbeat_) Broadcast(now);
+}
+
+void Leadership::OnPropose(const Propose& propose, Time now) {
+  const std::size_t open = state_.log.last_index() - state_.commit;
+  ProposalOutcome refusal = ProposalOutcome::kCommitted;
+  if (!HoldsLease(now)) {
+    refusal = ProposalOutcome::kNotLeader;
+  } else if (open >= state_.options.max_uncommitted_entries ||
+             uncommitted_bytes_ >= state_.options.max_uncommitted_bytes) {
+    refusal = ProposalOutcome::kOverloaded;
+  }
+  if (refusal != ProposalOutcome::kCommitted) {
+    state_.outbox.Emit(ProposalDone{propose.proposal, refusal, 0});
+    return;
+  }
+  const LogIndex index = state_.log.last_index() + 1;
+  proposals_[index] = propose.proposal;
+  uncommitted_bytes_ += propose.command.size();
+  state_.AppendEntry(
+      {index, state_.hard.term, EntryKind::kCommand, propose.command, {}});
+  ReplicateToAll(now);
+}
+
+void Leadership::ReplicateToAll(Time now) {
+  for (auto& [id, peer] : peers_) Replicate(id, peer, now);
+}
+
+void Leadership::OnAppendReply(const ReplicaId& from, const AppendReply& reply,
+                               Time now) {
+  const auto found = peers_.find(from);
+  if (found == peers_.end() || reply.term != state_.hard.term) return;
+  Peer& peer = found->second;
+  Acknowledge(peer, reply.sent_ms, now);
+  if (!reply.accepted) {
+    Refuse(from, peer, reply, now);
+    return;
+  }
+  if (reply.index < peer.match || reply.index > state_.log.last_index()) return;
+  // Only progress, or the answer to a probe without entries, frees the way.
+  if (reply.index >= peer.next) peer.in_flight = false;
+  SetMatch(peer, reply.index, now);
+  Replicate(from, peer, now);
+}
+
+void Leadership::SetMatch(Peer& peer, LogIndex index, Time now) {
+  if (index > peer.match) peer.matched_ms = SinceElection(now);
+  peer.match = index;
+  peer.next = std::max(peer.next, peer.match + 1);
+  AdvanceCommit();
+}
+
+void Leadership::Refuse(const ReplicaId& id, Peer& peer,
+                        const AppendReply& reply, Time now) {
+  // An answer to an earlier message than the present one.
+  if (reply.index + 1 != peer.next) return;
+  if (reply.index <= peer.match) {
+    // Late answers to what was sent before the peer caught up say nothing.
+    if (reply.sent_ms <= peer.matched_ms || peer.forgot) return;
+    state_.Emit(ReplicaEventKind::kMemberForgot, peer.match, id.process);
+    peer.forgot = true;
+    return;
+  }
+  peer.next = std::max(peer.match, std::min(reply.hint, reply.index - 1)) + 1;
+  peer.in_flight = false;
+  Replicate(id, peer, now);
+}
+
+void Leadership::OnSnapshotReply(const ReplicaId& from,
+                                 const SnapshotReply& reply, Time now) {
+  const auto found = peers_.find(from);
+  if (found == peers_.end() || reply.term != state_.hard.term) return;
+  Peer& peer = found->second;
+  Acknowledge(peer, reply.sent_ms, now);
+  if (reply.complete) {
+    if (reply.index <= peer.match) return;
+    peer.in_flight = false;
+    SetMatch(peer, reply.index, now);
+  } else {
+    const bool repeated = reply.next_offset == peer.snapshot_offset;
+    if (reply.index != peer.snapshot_index || repeated) return;
+    peer.snapshot_offset = reply.next_offset;
+    peer.in_flight = false;
+  }
+  Replicate(from, peer, now);
+}
+
+void Leadership::OnApplied(const LogEntry& entry) {
+  const auto found = proposals_.find(entry.index);
+  if (found == proposals_.end()) return;
+  uncommitted_bytes_ -= entry.command.size();
+  state_.outbox.Emit(
+      ProposalDone{found->second, ProposalOutcome::kCommitted, entry.index});
+  proposals_.erase(found);
+}
+
+void Leadership::FollowMembership(Time now) {
+  const Membership& membership = state_.log.membership();
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    peer = membership.Find(peer->first) == nullptr ? peers_.erase(peer)
+                                                   : std::next(peer);
+  }
+  for (const Member& member : membership.members) {
+    if (member.id == state_.self || peers_.count(member.id) != 0) continue;
+    Peer& peer = peers_[member.id];
+    peer.next = state_.log.last_index() + 1;
+    if (active_) Replicate(member.id, peer, now);
+  }
+}
+
+void Leadership::Broadcast(Time now) {
+  next_heartbeat_ = now + state_.options.heartbeat;
+  for (auto& [id, peer] : peers_) {
+    // What was sent before and is not answered by now may be lost.
+    if (now >= peer.sent + state_.options.heartbeat) peer.in_flight = false;
+    SendEntries(id, peer, now);
+  }
+}
+
+void Leadership::Replicate(const ReplicaId& id, Peer& peer, Time now) {
+  if (peer.in_flight || peer.next > state_.log.last_index()) return;
+  SendEntries(id, peer, now);
+}
+
+void Leadership::SendEntries(const ReplicaId& id, Peer& peer, Time now) {
+  if (peer.next <= state_.log.base_index()) {
+    SendChunk(id, peer, now);
+    return;
+  }
+  AppendRequest request;
+  request.term = state_.hard.term;
+  request.prev_index = peer.next - 1;
+  request.prev_term = state_.log.TermAt(request.prev_index).value_or(0);
+  request.commit = state_.commit;
+  request.sent_ms = SinceElection(now);
+  // A peer that does not answer gets only heartbeats until it does.
+  const bool is_first = peer.sent == Time();
+  if (!peer.in_flight && (is_first || IsAlive(id, now))) {
+    request.entries =
+        state_.log.Slice(peer.next, state_.options.max_batch_bytes);
+  }
+  peer.in_flight = peer.in_flight || !request.entries.empty();
+  peer.sent = now;
+  state_.Send(id, std::move(request));
+}
+
+void Leadership::SendChunk(const ReplicaId& id, Peer& peer, Time now) {
+  const Snapshot& snapshot = *state_.log.snapshot();
+  if (peer.snapshot_index != snapshot.index ||
+      peer.snapshot_offset > snapshot.bytes.size()) {
+    peer.snapshot_index = snapshot.index;
+    peer.snapshot_offset = 0;
+  }
+  SnapshotChunk chunk;
+  chunk.term = state_.hard.term;
+  chunk.index = snapshot.index;
+  chunk.snapshot_term = snapshot.term;
+  chunk.membership = snapshot.membership;
+  chunk.offset = peer.snapshot_offset;
+  chunk.total_bytes = snapshot.bytes.size();
+  chunk.sent_ms = SinceElection(now);
+  if (IsAlive(id, now)) {
+    chunk.data = snapshot.bytes.substr(peer.snapshot_offset,
+                                       state_.options.max_batch_bytes);
+  }
+  peer.in_flight = true;
+  peer.sent = now;
+  state_.Send(id, std::move(chunk));
+}
+
+std::uint64_t Leadership::SinceElection(Time now) const {
+  return static_cast<std::uint64_t>(ToMilliseconds(now - elected_at_));
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/replication/log_receiver.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "core/replication/replica_state.h"
+
+namespace coltsfootfork {
+
+// Takes entries and snapshots from the leader.
+class LogReceiver {
+ public:
+  explicit LogReceiver(ReplicaState& state) : state_(state) {}
+
+  void OnAppend(const ReplicaId& from, const AppendRequest& request, Time now);
+  void OnChunk(const ReplicaId& from, const SnapshotChunk& chunk, Time now);
+
+ private:
+  // The snapshot that is being received.
+  struct Partial {
+    LogIndex index = 0;
+    Term term = 0;
+    std::string bytes;
+  };
+
+  bool AcceptLeader(const ReplicaId& from, Term term, Time now);
+  bool Fits(const AppendRequest& request) const;
+  LogIndex Hint(const AppendRequest& request) const;
+  void Store(const AppendRequest& request);
+  void Install(const SnapshotChunk& chunk);
+
+  ReplicaState& state_;
+  Partial partial_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/replication/replica_state.cc
@@ -0,0 +1,102 @@
+#include "core/replication/replica_state.h"
+
+#include <algorithm>
+
+namespace coltsfootfork {
+
+ReplicaState::ReplicaState(const ReplicaOptions& replica_options,
+                           RecoveredState recovered, std::uint64_t seed,
+                           Time now)
+    : options(replica_options),
+      self{replica_options.self, recovered.incarnation},
+      hard(recovered.hard_state),
+      log(std::move(recovered.snapshot), std::move(recovered.entries)),
+      outbox(log.last_index()),
+      random(seed) {
+  commit = log.snapshot_index();
+  // A replica with a past may have answered a leader just before it stopped.
+  if (hard.group != 0) heard_leader = now;
+  RestartElectionTimer(now);
+  FollowMembership();
+}
+
+void ReplicaState::Send(const ReplicaId& to, ReplicaMessageBody body) {
+  outbox.Send(
+      {to.process,
+       {self.incarnation, to.incarnation, hard.group, std::move(body)}});
+}
+
+void ReplicaState::SendSynced(const ReplicaId& to, ReplicaMessageBody body) {
+  outbox.SendSynced(
+      {to.process,
+       {self.incarnation, to.incarnation, hard.group, std::move(body)}});
+}
+
+void ReplicaState::Emit(ReplicaEventKind kind, LogIndex index,
+                        ProcessId process) {
+  outbox.Emit(LogEvent{kind, hard.term, index, std::move(process)});
+}
+
+void ReplicaState::AppendEntry(LogEntry entry) {
+  const bool changes_members = entry.kind == EntryKind::kMembership;
+  outbox.staged().append.push_back(entry);
+  log.Append(std::move(entry));
+  if (changes_members) FollowMembership();
+}
+
+void ReplicaState::TruncateFrom(LogIndex index) {
+  outbox.staged().truncate_from = index;
+  log.TruncateFrom(index);
+  FollowMembership();
+}
+
+void ReplicaState::JoinGroup(GroupId group) {
+  if (hard.group != 0 || group == 0) return;
+  hard.group = group;
+  StageHardState();
+  FollowMembership();
+  Emit(ReplicaEventKind::kGroupJoined, 0, {});
+}
+
+void ReplicaState::StepDown(Term term, Time now) {
+  if (IsLeader()) Emit(ReplicaEventKind::kLeaderLost, log.last_index(), {});
+  if (term > hard.term) {
+    hard.term = term;
+    hard.vote.reset();
+    leader.reset();
+    StageHardState();
+  }
+  if (leader == self) leader.reset();
+  roles.Process(RoleEvent::kSteppedDown);
+  RestartElectionTimer(now);
+}
+
+void ReplicaState::FollowMembership() {
+  if (hard.group == 0) return;
+  const bool voter = log.membership().IsVoter(self);
+  if (voter &&
+      (role() == ReplicaRole::kBlank || role() == ReplicaRole::kLearner)) {
+    roles.Process(RoleEvent::kBecameVoter);
+  } else if (!voter) {
+    roles.Process(RoleEvent::kBecameLearner);
+  }
+}
+
+void ReplicaState::HeardLeader(const ReplicaId& from, Time now) {
+  leader = from;
+  heard_leader = now;
+  RestartElectionTimer(now);
+}
+
+void ReplicaState::RestartElectionTimer(Time now) {
+  const auto spread =
+      static_cast<std::uint64_t>(options.election_minimum.count());
+  const auto extra = static_cast<Duration::rep>(random() % (spread + 1));
+  election_due = now + options.election_minimum + Duration(extra);
+}
+
+bool ReplicaState::IsBoundByLease(Time now) const {
+  return heard_leader && now < *heard_leader + options.election_minimum;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/replication/role_machine.cc
@@ -0,0 +1,131 @@
+#include "core/replication/role_machine.h"
+
+#include <array>
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+#include <boost/msm/front/states.hpp>
+#include <cstddef>
+
+namespace coltsfootfork {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+
+struct BecameVoter {};
+struct BecameLearner {};
+struct ElectionDue {};
+struct PreVoteWon {};
+struct VoteWon {};
+struct SteppedDown {};
+struct DiskFailed {};
+
+struct Blank : msm::front::state<> {};
+struct Learner : msm::front::state<> {};
+struct Follower : msm::front::state<> {};
+struct PreCandidate : msm::front::state<> {};
+struct Candidate : msm::front::state<> {};
+struct Leader : msm::front::state<> {};
+struct Halted : msm::front::state<> {};
+
+template <typename From, typename Event, typename To>
+using Move = msm::front::Row<From, Event, To, none, none>;
+
+struct RoleDefinition : msm::front::state_machine_def<RoleDefinition> {
+  using no_message_queue = int;
+  using no_exception_thrown = int;
+  using initial_state = Blank;
+
+  // MSM numbers the states in the order of their first mention.
+  struct transition_table
+      : boost::mpl::vector<
+            // clang-format off
+            Move<Blank, BecameLearner, Learner>,
+            Move<Blank, BecameVoter, Follower>,
+            Move<Learner, BecameVoter, Follower>,
+            Move<Follower, BecameLearner, Learner>,
+            Move<Follower, ElectionDue, PreCandidate>,
+            Move<PreCandidate, PreVoteWon, Candidate>,
+            Move<PreCandidate, SteppedDown, Follower>,
+            Move<PreCandidate, BecameLearner, Learner>,
+            Move<Candidate, ElectionDue, PreCandidate>,
+            Move<Candidate, VoteWon, Leader>,
+            Move<Candidate, SteppedDown, Follower>,
+            Move<Candidate, BecameLearner, Learner>,
+            Move<Leader, SteppedDown, Follower>,
+            Move<Leader, BecameLearner, Learner>,
+            Move<Blank, DiskFailed, Halted>,
+            Move<Learner, DiskFailed, Halted>,
+            Move<Follower, DiskFailed, Halted>,
+            Move<PreCandidate, DiskFailed, Halted>,
+            Move<Candidate, DiskFailed, Halted>,
+            Move<Leader, DiskFailed, Halted>
+            // clang-format on
+            > {};
+
+  template <typename Machine, typename Event>
+  void no_transition(const Event& /*event*/, Machine& /*machine*/,
+                     int /*state*/) {}
+};
+
+using Machine = msm::back::state_machine<RoleDefinition>;
+
+template <typename State>
+constexpr int StateNumber() {
+  return msm::back::get_state_id<Machine::stt, State>::value;
+}
+
+}  // namespace
+
+struct RoleMachine::Impl {
+  Machine machine;
+};
+
+RoleMachine::RoleMachine() : impl_(std::make_unique<Impl>()) {
+  impl_->machine.start();
+}
+RoleMachine::~RoleMachine() = default;
+RoleMachine::RoleMachine(RoleMachine&&) noexcept = default;
+RoleMachine& RoleMachine::operator=(RoleMachine&&) noexcept = default;
+
+void RoleMachine::Process(RoleEvent event) {
+  Machine& machine = impl_->machine;
+  switch (event) {
+    case RoleEvent::kBecameVoter:
+      machine.process_event(BecameVoter());
+      return;
+    case RoleEvent::kBecameLearner:
+      machine.process_event(BecameLearner());
+      return;
+    case RoleEvent::kElectionDue:
+      machine.process_event(ElectionDue());
+      return;
+    case RoleEvent::kPreVoteWon:
+      machine.process_event(PreVoteWon());
+      return;
+    case RoleEvent::kVoteWon:
+      machine.process_event(VoteWon());
+      return;
+    case RoleEvent::kSteppedDown:
+      machine.process_event(SteppedDown());
+      return;
+    case RoleEvent::kDiskFailed:
+      machine.process_event(DiskFailed());
+      return;
+  }
+}
+
+ReplicaRole RoleMachine::role() const {
+  const int state = impl_->machine.current_state()[0];
+  if (state == StateNumber<Blank>()) return ReplicaRole::kBlank;
+  if (state == StateNumber<Learner>()) return ReplicaRole::kLearner;
+  if (state == StateNumber<Follower>()) return ReplicaRole::kFollower;
+  if (state == StateNumber<PreCandidate>()) return ReplicaRole::kPreCandidate;
+  if (state == StateNumber<Candidate>()) return ReplicaRole::kCandidate;
+  if (state == StateNumber<Leader>()) return ReplicaRole::kLeader;
+  return ReplicaRole::kHalted;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/replication/state_machine_feed.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/replication/replica_state.h"
+
+namespace coltsfootfork {
+
+// Hands committed entries to the state machine, and takes its snapshots.
+class StateMachineFeed {
+ public:
+  explicit StateMachineFeed(ReplicaState& state) : state_(state) {}
+
+  // Applies the next committed entry; nothing when there is none.
+  const LogEntry* ApplyNext();
+  void MaybeAskForSnapshot();
+  void OnSnapshotTaken(const SnapshotTaken& taken);
+
+ private:
+  void RestoreRecoveredSnapshot();
+
+  ReplicaState& state_;
+  bool restored_ = false;
+  bool asked_for_snapshot_ = false;
+  // Bytes of the entries applied since the last snapshot.
+  std::size_t applied_bytes_ = 0;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/storage/data_folder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "coltsfootfork/core/replication/log_entry.h"
+#include "shell/storage/file_writer.h"
+
+namespace coltsfootfork {
+
+// The locked folder with its identity and the names of its files.
+class DataFolder {
+ public:
+  // Makes the folder when it is missing, locks it, and gives it a new identity
+  // when it has neither an identity nor any log.
+  static boost::leaf::result<DataFolder> Open(const std::string& path,
+                                              const StorageFault& fault);
+
+  const std::string& path() const { return path_; }
+  Incarnation incarnation() const { return incarnation_; }
+
+  // The numbers of the files "PREFIX-NUMBER", with their paths, in order.
+  std::map<std::uint64_t, std::string> Files(const std::string& prefix) const;
+  static std::string FileName(const std::string& prefix, std::uint64_t number);
+  std::uint64_t TotalBytes() const;
+
+ private:
+  DataFolder(std::string path, FileWriter lock)
+      : path_(std::move(path)), lock_(std::move(lock)) {}
+
+  boost::leaf::result<void> LoadIdentity();
+  boost::leaf::result<void> MakeIdentity(const StorageFault& fault);
+
+  std::string path_;
+  FileWriter lock_;
+  Incarnation incarnation_ = 0;
+};
+
+inline constexpr char kSegmentPrefix[] = "segment";
+inline constexpr char kSnapshotPrefix[] = "snapshot";
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/storage/file_writer.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "coltsfootfork/shell/storage/disk_log.h"
+
+namespace coltsfootfork {
+
+using StorageFault = std::function<int(StorageStep)>;
+
+// A file that is written at its end. It is closed with the object.
+class FileWriter {
+ public:
+  FileWriter(std::string path, int descriptor, StorageFault fault);
+  ~FileWriter();
+  FileWriter(FileWriter&& other) noexcept;
+  FileWriter& operator=(FileWriter&& other) noexcept;
+  FileWriter(const FileWriter&) = delete;
+  FileWriter& operator=(const FileWriter&) = delete;
+
+  // Opens for appending, and makes the file when it is missing.
+  static boost::leaf::result<FileWriter> Open(const std::string& path,
+                                              StorageFault fault);
+
+  boost::leaf::result<void> Write(std::string_view bytes);
+  boost::leaf::result<void> Sync();
+  boost::leaf::result<void> Truncate(std::uint64_t size);
+
+ private:
+  std::string path_;
+  int descriptor_ = -1;
+  StorageFault fault_;
+};
+
+// A StorageError of the present errno.
+boost::leaf::error_id SystemError(const std::string& place,
+                                  const std::string& action, int error);
+
+boost::leaf::result<std::string> ReadWholeFile(const std::string& path);
+
+// Makes the names in the folder last.
+boost::leaf::result<void> SyncFolder(const std::string& folder,
+                                     const StorageFault& fault);
+
+// Replaces the file as a whole: either the old or the new content lasts.
+boost::leaf::result<void> ReplaceFile(const std::string& folder,
+                                      const std::string& name,
+                                      std::string_view bytes,
+                                      const StorageFault& fault);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/storage/recovery.cc
@@ -0,0 +1,143 @@
+#include "shell/storage/recovery.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "coltsfootfork/core/replication/log_codec.h"
+#include "shell/storage/frame.h"
+
+namespace coltsfootfork {
+namespace {
+
+namespace leaf = boost::leaf;
+
+leaf::error_id Damage(const std::string& path, std::size_t offset,
+                      const std::string& problem) {
+  return leaf::new_error(
+      StorageError{path + ":" + std::to_string(offset), problem});
+}
+
+// Replays records in their order.
+class Replay {
+ public:
+  explicit Replay(RecoveredState& state) : state_(state) {}
+
+  leaf::result<void> Apply(LogRecord record, const std::string& path,
+                           std::size_t offset) {
+    if (record.hard_state) state_.hard_state = *record.hard_state;
+    if (record.reset_to) {
+      state_.entries.clear();
+      base_ = *record.reset_to;
+    }
+    if (record.truncate_from) Truncate(*record.truncate_from);
+    for (LogEntry& entry : record.entries) {
+      // The segments that held the entries before the first are deleted.
+      if (state_.entries.empty() && base_ == 0) base_ = entry.index - 1;
+      if (entry.index != base_ + state_.entries.size() + 1) {
+        return Damage(path, offset, "an entry is missing before this record");
+      }
+      state_.entries.push_back(std::move(entry));
+    }
+    return {};
+  }
+
+ private:
+  void Truncate(LogIndex from) {
+    while (!state_.entries.empty() && state_.entries.back().index >= from) {
+      state_.entries.pop_back();
+    }
+    if (state_.entries.empty()) base_ = from - 1;
+  }
+
+  RecoveredState& state_;
+  // The index before the first entry held.
+  LogIndex base_ = 0;
+};
+
+leaf::result<void> ReadSegment(const std::string& path, bool is_last,
+                               Replay& replay, SegmentInfo& info,
+                               FolderContent& content) {
+  BOOST_LEAF_AUTO(file, ReadWholeFile(path));
+  info.path = path;
+  std::size_t offset = 0;
+  while (offset < file.size()) {
+    const auto frame = ReadFrame(file, offset);
+    if (const auto* bad = std::get_if<BadFrame>(&frame)) {
+      if (!is_last || bad->whole_frame_follows) {
+        return Damage(path, offset, "damaged record before the end of the log");
+      }
+      content.torn_bytes = file.size() - offset;
+      break;
+    }
+    const GoodFrame& good = std::get<GoodFrame>(frame);
+    auto decoded = DecodeLogRecord(good.payload);
+    if (!decoded) return Damage(path, offset, "record cannot be decoded");
+    LogRecord& record = decoded.value();
+    for (const LogEntry& entry : record.entries) {
+      info.last_index = std::max(info.last_index, entry.index);
+    }
+    BOOST_LEAF_CHECK(replay.Apply(std::move(record), path, offset));
+    offset = good.next;
+  }
+  info.bytes = offset;
+  return {};
+}
+
+leaf::result<void> ReadLastSnapshot(const DataFolder& folder,
+                                    RecoveredState& state) {
+  const auto files = folder.Files(kSnapshotPrefix);
+  if (files.empty()) return {};
+  const std::string& path = files.rbegin()->second;
+  BOOST_LEAF_AUTO(file, ReadWholeFile(path));
+  if (file.empty()) return Damage(path, 0, "empty snapshot");
+  const auto frame = ReadFrame(file, 0);
+  const auto* good = std::get_if<GoodFrame>(&frame);
+  if (good == nullptr) return Damage(path, 0, "damaged snapshot");
+  auto snapshot = DecodeSnapshot(good->payload);
+  if (!snapshot) return Damage(path, 0, "snapshot cannot be decoded");
+  state.snapshot = std::move(snapshot.value());
+  return {};
+}
+
+// Whether the log goes on from the snapshot, or through it.
+bool Continues(const Snapshot& snapshot, const std::vector<LogEntry>& log) {
+  const LogIndex first = log.front().index;
+  if (first == snapshot.index + 1) return true;
+  if (first > snapshot.index || log.back().index < snapshot.index) return false;
+  return log[snapshot.index - first].term == snapshot.term;
+}
+
+leaf::result<void> JoinSnapshotAndLog(const DataFolder& folder,
+                                      FolderContent& content) {
+  RecoveredState& state = content.state;
+  if (state.entries.empty()) return {};
+  const LogIndex covered = state.snapshot ? state.snapshot->index : 0;
+  if (state.entries.front().index > covered + 1) {
+    return leaf::new_error(StorageError{
+        folder.path(), "entries are missing between the snapshot and the log"});
+  }
+  if (!state.snapshot || Continues(*state.snapshot, state.entries)) return {};
+  state.entries.clear();
+  content.needs_reset = true;
+  return {};
+}
+
+}  // namespace
+
+leaf::result<FolderContent> ReadFolder(const DataFolder& folder) {
+  FolderContent content;
+  content.state.incarnation = folder.incarnation();
+  BOOST_LEAF_CHECK(ReadLastSnapshot(folder, content.state));
+  const auto files = folder.Files(kSegmentPrefix);
+  Replay replay(content.state);
+  for (const auto& [number, path] : files) {
+    const bool is_last = number == files.rbegin()->first;
+    BOOST_LEAF_CHECK(
+        ReadSegment(path, is_last, replay, content.segments[number], content));
+  }
+  BOOST_LEAF_CHECK(JoinSnapshotAndLog(folder, content));
+  return content;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/core/replication/cluster.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coltsfootfork/core/replication/replica.h"
+#include "core/replication/cluster_checks.h"
+#include "core/replication/fake_disk.h"
+#include "core/replication/test_register.h"
+
+namespace coltsfootfork {
+
+// How unreliable the network between the replicas is. Shares are per mille.
+struct NetworkFaults {
+  unsigned lost = 0;
+  unsigned repeated = 0;
+  Duration min_delay = std::chrono::microseconds(200);
+  Duration max_delay = std::chrono::microseconds(800);
+};
+
+// One process with its disk, its clock and its state machine.
+struct Node {
+  ProcessId process;
+  ZoneId zone;
+  FakeDisk disk{0};
+  std::unique_ptr<Replica> replica;
+  TestRegister state;
+  LogIndex applied = 0;
+  // How much faster than true time the clock runs.
+  int clock_drift_permille = 0;
+  // Nothing is handled before this true time.
+  Time frozen_until;
+  // Counts starts, so that events of an earlier life are dropped.
+  std::uint64_t life = 0;
+};
+
+// Replicas on a simulated network in simulated time, driven by one seed.
+class Cluster {
+ public:
+  // `options` lacks only what differs between processes.
+  Cluster(std::size_t nodes, std::vector<std::size_t> seeds,
+          const ReplicaOptions& options, std::uint64_t seed);
+
+  void RunFor(Duration duration);
+
+  void Start(std::size_t node);
+  // Of the unsynced writes, a random number of the first ones survive.
+  void Crash(std::size_t node);
+  // Empties the data folder of a stopped process.
+  void LoseDisk(std::size_t node);
+  void FailDisk(std::size_t node);
+  void Freeze(std::size_t node, Duration duration);
+  // Cuts the node off from all others, in the given directions.
+  void Cut(std::size_t node, bool incoming, bool outgoing);
+  void HealNetwork();
+
+  ProposalId ProposeAt(std::size_t node, const std::string& command);
+  void Input(std::size_t node, const ReplicaInput& input);
+
+  // The node that holds the lease, or size().
+  std::size_t LeaseHolder() const;
+  bool HasOutcome(ProposalId proposal, ProposalOutcome outcome) const;
+  Time LocalTime(std::size_t node) const;
+
+  std::size_t size() const { return nodes_.size(); }
+  Node& node(std::size_t number) { return nodes_[number]; }
+  const Node& node(std::size_t number) const { return nodes_[number]; }
+  Time now() const { return now_; }
+  std::uint64_t Random(std::uint64_t bound) { return random_() % bound; }
+  NetworkFaults& faults() { return faults_; }
+  Duration& sync_delay() { return sync_delay_; }
+  ClusterChecks& checks() { return checks_; }
+
+ private:
+  enum class EventKind : std::uint8_t { kTick, kDeliver, kSync };
+  struct Event {
+    EventKind kind = EventKind::kTick;
+    std::size_t node = 0;
+    std::uint64_t life = 0;
+    ReplicaMessageReceived message;
+  };
+
+  void Schedule(Duration delay, Event event);
+  void Run(const Event& event);
+  void Sync(std::size_t node);
+  void Carry(std::size_t node, const std::vector<ReplicaEffect>& effects);
+  void On(std::size_t node, const SendReplicaMessage& send);
+  void On(std::size_t node, const Persist& persist);
+  void On(std::size_t node, const ApplyCommand& apply);
+  void On(std::size_t node, const ApplySnapshot& apply);
+  void On(std::size_t node, const ProposalDone& done);
+  void On(std::size_t node, const VoterChangeDone& done);
+  void On(std::size_t node, const TakeSnapshot& take);
+  void On(std::size_t node, const LogEvent& event);
+  Duration RandomDelay();
+  std::size_t NodeOf(const ProcessId& process) const;
+  void Check();
+
+  ReplicaOptions options_;
+  std::mt19937_64 random_;
+  Time now_ = Time(std::chrono::hours(1));
+  std::vector<Node> nodes_;
+  NetworkFaults faults_;
+  Duration sync_delay_ = std::chrono::milliseconds(2);
+  std::set<std::size_t> cut_incoming_;
+  std::set<std::size_t> cut_outgoing_;
+  std::multimap<Time, Event> events_;
+  std::map<ProposalId, ProposalOutcome> outcomes_;
+  std::map<ProposalId, std::string> commands_;
+  ProposalId next_proposal_ = 1;
+  Incarnation next_incarnation_ = 1;
+  ClusterChecks checks_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/shell/storage/disk_log_test.cc
@@ -0,0 +1,295 @@
+#include "coltsfootfork/shell/storage/disk_log.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+#include <cerrno>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coltsfootfork {
+namespace {
+
+namespace leaf = boost::leaf;
+namespace fs = std::filesystem;
+
+// A folder that is removed at the end of a test.
+class ScratchFolder {
+ public:
+  ScratchFolder() {
+    std::string pattern = (fs::temp_directory_path() / "disk-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~ScratchFolder() { fs::remove_all(path_); }
+  ScratchFolder(const ScratchFolder&) = delete;
+  ScratchFolder& operator=(const ScratchFolder&) = delete;
+
+  std::string data() const { return path_ + "/data"; }
+  // The files of the data folder whose names begin with the prefix.
+  std::vector<std::string> Files(const std::string& prefix) const {
+    std::vector<std::string> files;
+    for (const auto& entry : fs::directory_iterator(data())) {
+      const std::string name = entry.path().filename().string();
+      if (name.rfind(prefix, 0) == 0) files.push_back(entry.path().string());
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+  }
+
+ private:
+  std::string path_;
+};
+
+// An open log, or why there is none.
+struct Opened {
+  std::unique_ptr<DiskLog> log;
+  std::string error;
+};
+
+std::string ToText(const StorageError& error) {
+  return error.place + " " + error.problem;
+}
+
+Opened Open(const DiskLogOptions& options) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<Opened> {
+        BOOST_LEAF_AUTO(log, DiskLog::Open(options));
+        return Opened{std::move(log), ""};
+      },
+      [](const StorageError& error) {
+        return Opened{nullptr, ToText(error)};
+      },
+      []() {
+        return Opened{nullptr, "unknown error"};
+      });
+}
+
+// Empty when the write is synced.
+std::string Write(DiskLog& log, const Persist& persist) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(log.Write(persist));
+        return std::string();
+      },
+      [](const StorageError& error) { return ToText(error); },
+      []() { return std::string("unknown error"); });
+}
+
+Persist Entries(LogIndex from, LogIndex to, Term term = 1) {
+  Persist persist;
+  for (LogIndex index = from; index <= to; ++index) {
+    persist.append.push_back({index,
+                              term,
+                              EntryKind::kCommand,
+                              "command " + std::to_string(index),
+                              {}});
+  }
+  return persist;
+}
+
+Persist SnapshotAt(LogIndex index, Term term = 1) {
+  Persist persist;
+  persist.snapshot = Snapshot{index, term, {}, std::string(100, 's')};
+  return persist;
+}
+
+void AppendTo(const std::string& file, const std::string& bytes) {
+  std::ofstream(file, std::ios::app | std::ios::binary) << bytes;
+}
+
+void FlipByte(const std::string& file, std::streamoff offset) {
+  std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+  stream.seekg(offset);
+  const char byte = static_cast<char>(stream.get() ^ 0x40);
+  stream.seekp(offset);
+  stream.put(byte);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsWrittenIsThereAfterARestart) {
+  const ScratchFolder scratch;
+  Incarnation incarnation = 0;
+  {
+    const Opened opened = Open({scratch.data()});
+    BOOST_REQUIRE_EQUAL(opened.error, "");
+    incarnation = opened.log->TakeRecovered().incarnation;
+    Persist first = Entries(1, 5);
+    first.hard_state = HardState{9, 1, ReplicaId{ProcessId("a"), 3}};
+    BOOST_TEST(Write(*opened.log, first) == "");
+    Persist second = Entries(4, 4, 2);
+    second.truncate_from = 4;
+    BOOST_TEST(Write(*opened.log, second) == "");
+  }
+  const Opened opened = Open({scratch.data()});
+  const RecoveredState state = opened.log->TakeRecovered();
+  BOOST_TEST(incarnation != 0U);
+  BOOST_TEST(state.incarnation == incarnation);
+  BOOST_TEST(state.hard_state.group == 9U);
+  BOOST_TEST(state.hard_state.vote->incarnation == 3U);
+  BOOST_REQUIRE_EQUAL(state.entries.size(), 4U);
+  BOOST_TEST(state.entries[2].command == "command 3");
+  BOOST_TEST(state.entries[3].term == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ASecondProcessIsRefused) {
+  const ScratchFolder scratch;
+  const Opened first = Open({scratch.data()});
+  const Opened second = Open({scratch.data()});
+  BOOST_TEST(second.error.find("another process") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ATornTailIsCutAtEveryByte) {
+  const ScratchFolder scratch;
+  Write(*Open({scratch.data()}).log, Entries(1, 2));
+  const std::string segment = scratch.Files("segment").at(0);
+  const auto whole = fs::file_size(segment);
+  Write(*Open({scratch.data()}).log, Entries(3, 3));
+  const auto longer = fs::file_size(segment);
+  for (auto size = longer - 1; size > whole; --size) {
+    fs::resize_file(segment, size);
+    const Opened opened = Open({scratch.data()});
+    BOOST_REQUIRE_EQUAL(opened.error, "");
+    BOOST_TEST(opened.log->TakeRecovered().entries.size() == 2U);
+    BOOST_TEST(fs::file_size(segment) == whole);
+    BOOST_TEST(Write(*opened.log, Entries(3, 3)) == "");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ATailOfZerosIsCut) {
+  const ScratchFolder scratch;
+  Write(*Open({scratch.data()}).log, Entries(1, 2));
+  AppendTo(scratch.Files("segment").at(0), std::string(5000, '\0'));
+  BOOST_TEST(Open({scratch.data()}).log->TakeRecovered().entries.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(DamageBeforeTheEndIsRefusedWithItsPlace) {
+  const ScratchFolder scratch;
+  {
+    const Opened opened = Open({scratch.data()});
+    for (LogIndex i = 1; i <= 5; ++i) Write(*opened.log, Entries(i, i));
+  }
+  const std::string segment = scratch.Files("segment").at(0);
+  const auto size = static_cast<std::streamoff>(fs::file_size(segment));
+  // All bytes but those of the last record: headers, lengths and payloads.
+  for (std::streamoff offset = 0; offset < size * 3 / 4; ++offset) {
+    FlipByte(segment, offset);
+    const Opened opened = Open({scratch.data()});
+    BOOST_REQUIRE(opened.log == nullptr);
+    BOOST_TEST(opened.error.find(segment + ":") == 0U);
+    FlipByte(segment, offset);
+  }
+  BOOST_TEST(Open({scratch.data()}).error == "");
+}
+
+BOOST_AUTO_TEST_CASE(ADamagedSnapshotIsRefused) {
+  const ScratchFolder scratch;
+  {
+    const Opened opened = Open({scratch.data()});
+    Write(*opened.log, Entries(1, 5));
+    Write(*opened.log, SnapshotAt(4));
+  }
+  FlipByte(scratch.Files("snapshot").at(0), 60);
+  BOOST_TEST(Open({scratch.data()}).error.find("damaged snapshot") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotsBoundTheDisk) {
+  const ScratchFolder scratch;
+  DiskLogOptions options{scratch.data()};
+  options.segment_bytes = 1000;
+  std::uint64_t most = 0;
+  {
+    const Opened opened = Open(options);
+    Persist group;
+    group.hard_state = HardState{9, 7, std::nullopt};
+    Write(*opened.log, group);
+    for (LogIndex i = 1; i <= 2000; ++i) {
+      Write(*opened.log, Entries(i, i));
+      if (i % 50 == 0) Write(*opened.log, SnapshotAt(i));
+      most = std::max(most, opened.log->BytesOnDisk());
+    }
+  }
+  // 50 entries of 70 bytes, two segments more, and two snapshots.
+  BOOST_TEST(most < 8000U);
+  const RecoveredState state = Open(options).log->TakeRecovered();
+  BOOST_TEST(state.hard_state.group == 9U);
+  BOOST_TEST(state.snapshot->index == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(AFailedStepIsReportedAndEndsTheLog) {
+  for (const StorageStep step :
+       {StorageStep::kWrite, StorageStep::kSync, StorageStep::kSyncFolder}) {
+    const ScratchFolder scratch;
+    Write(*Open({scratch.data()}).log, Entries(1, 1));
+    bool failing = false;
+    DiskLogOptions options{scratch.data()};
+    options.segment_bytes = 1;
+    options.fault = [&](StorageStep one) {
+      return failing && one == step ? ENOSPC : 0;
+    };
+    {
+      const Opened opened = Open(options);
+      failing = true;
+      BOOST_TEST(Write(*opened.log, Entries(2, 2)).find("No space left") !=
+                 std::string::npos);
+      failing = false;
+      BOOST_TEST(Write(*opened.log, Entries(2, 2)) != "");
+    }
+    const RecoveredState state = Open({scratch.data()}).log->TakeRecovered();
+    BOOST_TEST(state.entries.at(0).command == "command 1");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACopiedFolderIsRefused) {
+  const ScratchFolder scratch;
+  Write(*Open({scratch.data()}).log, Entries(1, 1));
+  const std::string copy = scratch.data() + "-copy";
+  fs::copy(scratch.data(), copy);
+  BOOST_TEST(Open({copy}).error.find("copied or restored") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ALogWithoutIdentityIsRefused) {
+  const ScratchFolder scratch;
+  Write(*Open({scratch.data()}).log, Entries(1, 1));
+  fs::remove(scratch.data() + "/identity");
+  BOOST_TEST(Open({scratch.data()}).error.find("missing") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AnEmptiedFolderGetsANewIdentity) {
+  const ScratchFolder scratch;
+  const Incarnation before =
+      Open({scratch.data()}).log->TakeRecovered().incarnation;
+  fs::remove_all(scratch.data());
+  const Incarnation after =
+      Open({scratch.data()}).log->TakeRecovered().incarnation;
+  BOOST_TEST(before != after);
+}
+
+// A snapshot from a leader is synced before the record that voids the log.
+BOOST_AUTO_TEST_CASE(ACrashBetweenSnapshotAndResetKeepsOnlyTheSnapshot) {
+  for (const LogIndex last : {LogIndex{5}, LogIndex{30}}) {
+    const ScratchFolder scratch;
+    const DiskLogOptions options{scratch.data()};
+    {
+      const Opened opened = Open(options);
+      Write(*opened.log, Entries(1, last));
+      Write(*opened.log, SnapshotAt(20, 4));
+    }
+    BOOST_TEST(Open(options).log->TakeRecovered().entries.empty());
+    {
+      const Opened opened = Open(options);
+      BOOST_TEST(opened.log->TakeRecovered().snapshot->index == 20U);
+      BOOST_TEST(Write(*opened.log, Entries(21, 22, 4)) == "");
+    }
+    const RecoveredState state = Open(options).log->TakeRecovered();
+    BOOST_TEST(state.entries.size() == 2U);
+  }
+}
+
+}  // namespace
+}  // namespace coltsfootfork
