routing: Enumerate every failure case and add a random-fault test

The failure table crosses six places (link, agent, backend server, quorum, caller, entry) with before, during and after the run and four kinds of request, and counts what the fake server really runs; keyed cases are resent and must not run twice.

--- a/tests/core/routing/fake_agent.h
+++ b/tests/core/routing/fake_agent.h
@@ -119,13 +119,14 @@
     if (!resumable) runs_at_server_.erase(request);
   }
 
-  // The backend server restarts: all it ran is gone.
+  // The backend server restarts: all it ran is gone, and what it never got
+  // did not run.
   void CrashServer() {
     ++incarnation_;
-    while (!runs_at_server_.empty()) {
-      Interrupt(runs_at_server_.begin()->first, false);
+    for (const RequestId& request : Requests()) {
+      Refuse(request, Reason::kServerLost);
+      Interrupt(request, false);
     }
-    outbox_.emplace_back(Report());
   }
 
   // The agent's process restarts without a trace of its requests.
@@ -145,6 +146,9 @@
   bool Holds(const RequestId& request) const {
     return runs_at_server_.count(request) > 0;
   }
+  RequestKind KindOf(const RequestId& request) const {
+    return runs_at_server_.at(request).dispatch.kind;
+  }
   std::deque<AgentToEntry>& outbox() { return outbox_; }
 
  private:
--- a/tests/core/routing/fake_cluster.h
+++ b/tests/core/routing/fake_cluster.h
@@ -44,6 +44,7 @@
   }
 
   void Settle(const ClaimSettle& settle) {
+    if (!quorum) return;
     const auto found = claims_.find(settle.claim);
     if (found == claims_.end() || found->second.holder != settle.request) {
       return;
@@ -164,6 +165,30 @@
     Input(AgentDown{id});
   }
 
+  // The entry's process dies; another takes its place without its memory.
+  void ReplaceEntry() {
+    asked_claims.clear();
+    entry = EntryCore(DefaultOptions(), 2);
+    Input(ConfigurationInForce{MakeConfiguration()});
+    for (auto& [id, agent] : agents) {
+      agent.outbox().clear();
+      LinkUp(id);
+    }
+  }
+
+  // Lets every agent run all it holds, while time passes.
+  void RunAll(Duration by, Duration step = std::chrono::milliseconds(250)) {
+    for (const Time end = now + by; now < end;) {
+      Pass(step, step);
+      for (auto& [id, agent] : agents) {
+        for (const RequestId& request : agent.Requests()) {
+          agent.Finish(request);
+        }
+      }
+      DeliverAll();
+    }
+  }
+
   bool DeliverOne(const ProcessId& id) {
     auto& outbox = agents.at(id).outbox();
     if (!links.at(id)) outbox.clear();
@@ -215,14 +240,17 @@
   std::map<Reason, int> counts;
   FakeClaims claims;
   std::deque<ClaimBegin> asked_claims;
-  std::vector<ClaimSettle> settled;
+  // Sends of the entry that get lost from now on.
+  int sends_to_lose = 0;
 
  private:
   struct EffectVisitor {
     FakeCluster* cluster;
 
     void operator()(const SendToAgent& send) const {
-      if (cluster->links[send.agent]) {
+      if (cluster->sends_to_lose > 0) {
+        --cluster->sends_to_lose;
+      } else if (cluster->links[send.agent]) {
         cluster->agents.at(send.agent).Take(send.message);
       }
     }
@@ -251,7 +279,6 @@
       cluster->asked_claims.push_back(ask.claim);
     }
     void operator()(const SettleClaim& settle) const {
-      cluster->settled.push_back(settle.claim);
       cluster->claims.Settle(settle.claim);
     }
     void operator()(const CountReason& count) const {
