routing: Hold workspaces to this entry's part of their limits

Limits of requests and tokens a second and of concurrent streams must hold over all entries together, and a caller that moves to another entry must not find an empty even share there. Output lengths are unknown, so tokens are booked as they come and an overdrawn workspace waits; a limit that is set later does not count earlier work.

Until shares are granted, an entry holds EntryOptions::default_share of each limit, rounded down, so a limit below the number of entries needs granted shares.

--- a/include/coltsfootfork/core/messages/entry_io.h
+++ b/include/coltsfootfork/core/messages/entry_io.h
@@ -9,6 +9,7 @@
 
 #include "coltsfootfork/core/configuration/configuration.h"
 #include "coltsfootfork/core/messages/control_messages.h"
+#include "coltsfootfork/core/messages/limit_messages.h"
 #include "coltsfootfork/core/messages/request_messages.h"
 
 // Inputs and effects of the entry's decision core.
@@ -74,10 +75,16 @@
 // No new request is taken; running ones go on to their end.
 struct StopRequested {};
 
+// This entry's parts of the workspaces' limits. A workspace that is not named
+// keeps the default share.
+struct LimitSharesGranted {
+  std::vector<WorkspaceLimitShare> shares;
+};
+
 using EntryInput =
     std::variant<CallerRequest, CallerGone, CallerBacklog, AgentMessage,
                  AgentUp, AgentDown, DirectoryChanged, ConfigurationInForce,
-                 ClaimAnswered, StopRequested>;
+                 ClaimAnswered, StopRequested, LimitSharesGranted>;
 
 struct SendToAgent {
   ProcessId agent;
--- a/include/coltsfootfork/core/routing/entry_core.h
+++ b/include/coltsfootfork/core/routing/entry_core.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coltsfootfork/core/messages/entry_io.h"
+#include "coltsfootfork/core/messages/limit_messages.h"
 #include "coltsfootfork/core/routing/entry_options.h"
 #include "coltsfootfork/core/types/time.h"
 
@@ -38,6 +39,10 @@
   // Whether a requested stop has nothing left to wait for.
   bool Drained() const;
 
+  // What callers of each workspace asked of this entry in the last second, in
+  // order of workspace. The parts of its limits are cut to it.
+  std::vector<WorkspaceDemand> Demand(Time now) const;
+
   // Requests that have not ended, those whose caller is gone included.
   std::size_t open_requests() const;
 
--- a/src/core/routing/agent_events.cc
+++ b/src/core/routing/agent_events.cc
@@ -134,6 +134,7 @@
     if (row->sequencer.next_index() == 1) DropPrompt(row);
     row->life.Apply(StreamEvent::kTokenDelivered);
     row->resumes = 0;
+    state_->shares.OnToken(row->call.workspace, now_);
     Keep(row, frame.text);
     state_->requests.SetDeadline(row, now_ + state_->options.retry.stall);
     if (row->caller.gone) return;
--- a/src/core/routing/entry_core.cc
+++ b/src/core/routing/entry_core.cc
@@ -50,6 +50,9 @@
   void operator()(const StopRequested& /*stop*/) const {
     state_->stopping = true;
   }
+  void operator()(const LimitSharesGranted& granted) const {
+    state_->shares.Grant(granted.shares);
+  }
 
  private:
   EntryState* state_;
@@ -82,6 +85,10 @@
   return state_->stopping && state_->requests.size() == 0;
 }
 
+std::vector<WorkspaceDemand> EntryCore::Demand(Time now) const {
+  return state_->shares.Demand(now);
+}
+
 std::size_t EntryCore::open_requests() const { return state_->requests.size(); }
 
 }  // namespace coltsfootfork
--- a/src/core/routing/entry_state.h
+++ b/src/core/routing/entry_state.h
@@ -11,6 +11,7 @@
 #include "core/routing/retry_budget.h"
 #include "core/routing/server_chooser.h"
 #include "core/routing/server_table.h"
+#include "core/routing/workspace_shares.h"
 
 namespace coltsfootfork {
 
@@ -21,7 +22,8 @@
         servers(options.choice),
         hints(options.choice.hint_blocks_per_server),
         chooser(options.choice, seed),
-        budget(options.retry) {}
+        budget(options.retry),
+        shares(options.default_share) {}
 
   EntryOptions options;
   std::shared_ptr<const Configuration> configuration;
@@ -29,6 +31,7 @@
   PrefixHints hints;
   ServerChooser chooser;
   RetryBudget budget;
+  WorkspaceShares shares;
   RequestTable requests;
   bool stopping = false;
   // What follows from the input in hand.
--- a/src/core/routing/request_admission.cc
+++ b/src/core/routing/request_admission.cc
@@ -74,13 +74,19 @@
     RefuseAtOnce(state, call, rules.rank, Reason::kUnknownService, kNoRetry);
     return;
   }
-  RequestRow* row = state->requests.Add(call, now);
   // Two requests of one name could not be answered apart.
-  if (row == nullptr) {
+  if (state->requests.Find(call.request) != nullptr) {
     state->effects.emplace_back(
         CountReason{Reason::kBadRequest, rules.rank, call.service});
     return;
   }
+  const LimitRefusal refusal = state->shares.Admit(
+      {call.workspace, call.kind, call.prompt_tokens}, rules.limits, now);
+  if (refusal.reason != Reason::kNone) {
+    RefuseAtOnce(state, call, rules.rank, refusal.reason, refusal.retry_after);
+    return;
+  }
+  RequestRow* row = state->requests.Add(call, now);
   row->rank = rules.rank;
   row->target = rules.target;
   row->at_most_once = RunsAtMostOnce(call, rules);
--- a/src/core/routing/request_ending.cc
+++ b/src/core/routing/request_ending.cc
@@ -26,6 +26,7 @@
 
 void Close(EntryState* state, RequestRow* row) {
   LeaveServer(state, row);
+  state->shares.OnEnded(row->call.workspace, row->call.kind);
   row->life.Apply(StreamEvent::kEnded);
   state->requests.Remove(RequestId(row->call.request));
 }
