routing: Count a loss once, drop gone servers, test each reason

A request that lost its server and found no other was counted under the same reason at the loss and again at its end; the end is now no_server, and the loss counts once. Rows of agents that left the directory and hold nothing are dropped and their places used again, since names of replaced hosts would pile up. A change of the directory now also wakes requests that wait for a server. The entry's stall bound goes from 5 s to 3 s, so that a silent stream ends within 6 s.

Every reason that the entry gives has a test that has seen its counter move, with what the caller is told; among them an agent that never comes back, which the failure table does not hold.

--- a/include/coltsfootfork/core/routing/entry_options.h
+++ b/include/coltsfootfork/core/routing/entry_options.h
@@ -53,11 +53,11 @@
   // How long an agent may be silent before its requests are moved.
   std::chrono::milliseconds agent_silence{4000};
   // How long a stream may be silent on an open link.
-  std::chrono::milliseconds stall{5000};
+  std::chrono::milliseconds stall{3000};
   // How long a plain call may take once it could have started.
   std::chrono::milliseconds plain_call_timeout{30000};
   // How long a broken stream waits for its agent and for the next token.
-  std::chrono::milliseconds resume_wait{2000};
+  std::chrono::milliseconds resume_wait{1500};
   // Delivered bytes that a caller may leave untaken.
   std::uint64_t caller_buffer_bytes = 65536;
   // How long a caller may take nothing of what waits for it.
--- a/src/core/routing/deadline_system.cc
+++ b/src/core/routing/deadline_system.cc
@@ -29,10 +29,8 @@
 }
 
 void OnNoServerInTime(EntryState* state, RequestRow* row, Time now) {
-  const Reason reason = row->last_failure == Reason::kNone ? Reason::kNoServer
-                                                           : row->last_failure;
-  EndWithProblem(state, row, reason, state->options.retry.default_retry_after,
-                 now);
+  EndWithProblem(state, row, Reason::kNoServer,
+                 state->options.retry.default_retry_after, now);
 }
 
 // When a handed-over request must have shown something.
--- a/src/core/routing/entry_core.cc
+++ b/src/core/routing/entry_core.cc
@@ -8,6 +8,7 @@
 #include "core/routing/deadline_system.h"
 #include "core/routing/entry_state.h"
 #include "core/routing/request_admission.h"
+#include "core/routing/request_dispatch.h"
 #include "core/routing/zone_map.h"
 
 namespace coltsfootfork {
@@ -37,7 +38,11 @@
     OnAgentDown(state_, down.agent, now_);
   }
   void operator()(const DirectoryChanged& changed) const {
-    state_->servers.ApplyDirectory(changed.agents);
+    for (const ServerIndex gone :
+         state_->servers.ApplyDirectory(changed.agents)) {
+      state_->hints.Forget(gone);
+    }
+    DispatchWaiting(state_, now_);
   }
   void operator()(const ConfigurationInForce& in_force) const {
     state_->configuration = in_force.configuration;
--- a/src/core/routing/request_dispatch.cc
+++ b/src/core/routing/request_dispatch.cc
@@ -75,10 +75,8 @@
                    now);
     return;
   }
-  const Reason reason = row->last_failure == Reason::kNone ? Reason::kNoServer
-                                                           : row->last_failure;
-  EndWithProblem(state, row, reason, state->options.retry.default_retry_after,
-                 now);
+  EndWithProblem(state, row, Reason::kNoServer,
+                 state->options.retry.default_retry_after, now);
 }
 
 void WaitOrEnd(EntryState* state, RequestRow* row, const Choice& choice,
@@ -114,7 +112,6 @@
   if (row->server.has_value()) row->avoid.push_back(*row->server);
   LeaveServer(state, row);
   row->life.Apply(StreamEvent::kTakenBack);
-  row->last_failure = failure.reason;
   const Choice choice = ChooseServer(state, *row, now);
   const bool hopeless = failure.refused && !choice.server.has_value();
   if (hopeless || row->dispatches >= options.max_dispatches ||
@@ -124,16 +121,15 @@
                    now);
     return;
   }
+  // Whoever refused has counted it.
+  if (!failure.refused) Count(state, *row, failure.reason);
   const bool planned = IsPlannedMove(failure.reason);
   if (!planned && !state->budget.Spend(now)) {
     EndWithProblem(state, row, Reason::kRetryBudgetSpent,
                    options.default_retry_after, now);
     return;
   }
-  Count(state, *row,
-        failure.reason == Reason::kReclaimMove
-            ? Reason::kReclaimMove
-            : Reason::kRetriedBeforeFirstToken);
+  Count(state, *row, Reason::kRetriedBeforeFirstToken);
   if (choice.server.has_value()) {
     HandOver(state, row, choice, now);
   } else {
@@ -143,9 +139,9 @@
 
 void OnLostBeforeFirstToken(EntryState* state, RequestRow* row, Reason reason,
                             Time now) {
-  Count(state, *row, reason);
   CancelAtAgent(state, *row);
   if (row->at_most_once) {
+    Count(state, *row, reason);
     EndWithProblem(state, row, Reason::kOutcomeUnknown, milliseconds{0}, now);
     return;
   }
--- a/src/core/routing/request_table.h
+++ b/src/core/routing/request_table.h
@@ -57,8 +57,6 @@
   std::uint32_t resumes = 0;
   // Hand-overs without proof that they did not run.
   std::uint32_t unproved_dispatches = 0;
-  // Why the request waits for a server again; kNone at first.
-  Reason last_failure = Reason::kNone;
   KeptText kept;
   // When the present state lasts too long.
   Time deadline = Time::max();
--- a/src/core/routing/server_table.cc
+++ b/src/core/routing/server_table.cc
@@ -15,13 +15,18 @@
 }  // namespace
 
 ServerIndex ServerTable::Ensure(const ProcessId& agent) {
-  const auto [place, added] =
-      by_agent_.emplace(agent, static_cast<ServerIndex>(rows_.size()));
-  if (added) {
+  const auto found = by_agent_.find(agent);
+  if (found != by_agent_.end()) return found->second;
+  auto index = static_cast<ServerIndex>(rows_.size());
+  if (free_.empty()) {
     rows_.emplace_back();
-    rows_.back().agent = agent;
+  } else {
+    index = free_.back();
+    free_.pop_back();
   }
-  return place->second;
+  rows_[index].agent = agent;
+  by_agent_.emplace(agent, index);
+  return index;
 }
 
 std::optional<ServerIndex> ServerTable::Find(const ProcessId& agent) const {
@@ -59,7 +64,8 @@
   row.sends.clear();
 }
 
-void ServerTable::ApplyDirectory(const std::vector<DirectoryAgent>& agents) {
+std::vector<ServerIndex> ServerTable::ApplyDirectory(
+    const std::vector<DirectoryAgent>& agents) {
   has_directory_ = true;
   for (ServerRow& row : rows_) row.listed = false;
   for (const DirectoryAgent& agent : agents) {
@@ -67,6 +73,25 @@
     row.listed = true;
     row.listed_draining = agent.draining;
   }
+  return DropGone();
+}
+
+std::vector<ServerIndex> ServerTable::DropGone() {
+  std::vector<ServerIndex> gone;
+  for (auto place = by_agent_.begin(); place != by_agent_.end();) {
+    const ServerIndex index = place->second;
+    const ServerRow& row = rows_[index];
+    if (row.listed || row.link_up || row.outstanding > 0) {
+      ++place;
+      continue;
+    }
+    if (row.report.has_value()) Reindex(index, row.report->services, {});
+    rows_[index] = ServerRow();
+    free_.push_back(index);
+    gone.push_back(index);
+    place = by_agent_.erase(place);
+  }
+  return gone;
 }
 
 void ServerTable::NoteSend(ServerIndex index, Rank rank,
--- a/src/core/routing/server_table.h
+++ b/src/core/routing/server_table.h
@@ -57,7 +57,10 @@
   // is void, because it is another server or has started anew.
   bool ApplyReport(ServerIndex index, const ServerReport& report, Time now);
   void SetLink(ServerIndex index, bool up);
-  void ApplyDirectory(const std::vector<DirectoryAgent>& agents);
+  // Takes the directory. Returns the rows that were dropped because their
+  // agents are gone; their places are used again.
+  std::vector<ServerIndex> ApplyDirectory(
+      const std::vector<DirectoryAgent>& agents);
   void NoteSend(ServerIndex index, Rank rank, std::chrono::microseconds work,
                 Time now);
 
@@ -78,9 +81,12 @@
   void Reindex(ServerIndex index, const std::vector<ServiceId>& before,
                const std::vector<ServiceId>& after);
 
+  std::vector<ServerIndex> DropGone();
+
   ChoiceOptions options_;
   bool has_directory_ = false;
   std::vector<ServerRow> rows_;
+  std::vector<ServerIndex> free_;
   std::map<ProcessId, ServerIndex> by_agent_;
   std::map<ServiceId, std::vector<ServerIndex>> by_service_;
 };
--- /dev/null
+++ b/tests/core/routing/entry_reasons_test.cc
@@ -0,0 +1,347 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "core/routing/fake_cluster.h"
+
+// Each reason that the entry gives is seen to move its counter, and what the
+// caller is told with it.
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::FakeCluster;
+using testing::kStreamTokens;
+
+const RequestId kA("a");
+
+// Checks the last word to the caller of "a" and the counter behind it.
+void CheckProblem(FakeCluster* cluster, Reason reason, bool not_run) {
+  const auto& caller = cluster->Caller("a");
+  BOOST_REQUIRE(caller.problem.has_value());
+  BOOST_TEST(ReasonName(caller.problem->reason) == ReasonName(reason));
+  BOOST_TEST(caller.problem->not_run == not_run);
+  BOOST_TEST(caller.finals == 1);
+  BOOST_TEST(cluster->counts[reason] == 1);
+}
+
+void StartStream(FakeCluster* cluster) {
+  cluster->Input(FakeCluster::Generation("a"));
+  cluster->AgentOf("a").Start(kA);
+  cluster->AgentOf("a").Step(kA);
+  cluster->DeliverAll();
+}
+
+std::shared_ptr<Configuration> WithLimits(WorkspaceLimits limits) {
+  auto configuration = FakeCluster::MakeConfiguration();
+  configuration->workspaces[0].limits = limits;
+  return configuration;
+}
+
+BOOST_AUTO_TEST_SUITE(EntryReasonsTest)
+
+BOOST_AUTO_TEST_CASE(NotConfigured) {
+  EntryCore entry(FakeCluster::DefaultOptions(), 1);
+  const auto effects =
+      entry.Handle(FakeCluster::Generation("a"), Time(seconds(1)));
+  BOOST_REQUIRE(effects.size() == 2U);
+  BOOST_TEST(
+      (std::get<CountReason>(effects[0]).reason == Reason::kNotConfigured));
+  BOOST_TEST(std::get<DeliverProblem>(effects[1]).not_run);
+}
+
+BOOST_AUTO_TEST_CASE(UnknownService) {
+  FakeCluster cluster(1);
+  CallerRequest call = FakeCluster::Generation("a");
+  call.service = ServiceId("nothing");
+  cluster.Input(call);
+  CheckProblem(&cluster, Reason::kUnknownService, true);
+}
+
+BOOST_AUTO_TEST_CASE(NoServerAtOnceWhenNoneIsKnown) {
+  FakeCluster cluster(0);
+  cluster.Input(FakeCluster::Generation("a"));
+  CheckProblem(&cluster, Reason::kNoServer, true);
+  BOOST_TEST(cluster.Caller("a").problem->retry_after.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(KnownServerIsWaitedForAndThenGivenUp) {
+  FakeCluster cluster(1);
+  cluster.LinkDown(ProcessId("agent0"));
+  cluster.Input(FakeCluster::Generation("a"));
+  BOOST_TEST(cluster.Caller("a").finals == 0);
+  cluster.Advance(milliseconds(500));
+  CheckProblem(&cluster, Reason::kNoServer, true);
+  cluster.Input(FakeCluster::Generation("c"));
+  cluster.LinkUp(ProcessId("agent0"));
+  BOOST_TEST(cluster.HolderOf("c") == ProcessId("agent0"));
+}
+
+BOOST_AUTO_TEST_CASE(DeadlineUnreachable) {
+  FakeCluster cluster(1);
+  ServerReport report = cluster.agents.at(ProcessId("agent0")).Report();
+  report.deferrable_delay = seconds(40);
+  cluster.Tell(ProcessId("agent0"), report);
+  cluster.Input(FakeCluster::Generation("a"));
+  CheckProblem(&cluster, Reason::kDeadlineUnreachable, true);
+  BOOST_TEST(cluster.Caller("a").problem->retry_after.count() == 10000);
+}
+
+BOOST_AUTO_TEST_CASE(WorkspaceLimitsRefuseAsNotRun) {
+  const auto check = [](WorkspaceLimits limits, Reason reason) {
+    FakeCluster cluster(1);
+    cluster.Input(ConfigurationInForce{WithLimits(limits)});
+    cluster.Input(FakeCluster::Generation("first"));
+    cluster.Input(FakeCluster::Generation("a"));
+    CheckProblem(&cluster, reason, true);
+    BOOST_TEST(cluster.Caller("a").problem->retry_after.count() > 0);
+  };
+  check({1, 0, 0}, Reason::kWorkspaceRequestLimit);
+  check({0, 50, 0}, Reason::kWorkspaceTokenLimit);
+  check({0, 0, 1}, Reason::kWorkspaceStreamLimit);
+}
+
+BOOST_AUTO_TEST_CASE(EndedStreamFreesItsPlace) {
+  FakeCluster cluster(1);
+  cluster.Input(ConfigurationInForce{WithLimits({0, 0, 1})});
+  cluster.Input(FakeCluster::Generation("first"));
+  cluster.AgentOf("first").Finish(RequestId("first"));
+  cluster.DeliverAll();
+  cluster.Input(FakeCluster::Generation("a"));
+  BOOST_TEST(cluster.Caller("a").finals == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ClaimRefusals) {
+  FakeCluster cluster(1);
+  CallerRequest call = FakeCluster::PlainCall("first", "POST");
+  call.idempotency_key = "key";
+  cluster.Input(call);
+  cluster.DeliverAll();
+  call.request = kA;
+  call.request_digest = "another";
+  cluster.Input(call);
+  cluster.DeliverAll();
+  CheckProblem(&cluster, Reason::kIdempotencyKeyReused, true);
+}
+
+BOOST_AUTO_TEST_CASE(ClaimWithoutAnswerIsGivenUpAndSettledLater) {
+  FakeCluster cluster(1);
+  CallerRequest call = FakeCluster::PlainCall("a", "POST");
+  call.idempotency_key = "key";
+  cluster.Input(call);
+  cluster.Advance(seconds(3));
+  CheckProblem(&cluster, Reason::kNoQuorum, true);
+  BOOST_TEST(cluster.entry.open_requests() == 1U);
+  // The claim was committed all the same, late.
+  cluster.DeliverAll();
+  BOOST_TEST(cluster.entry.open_requests() == 0U);
+  BOOST_TEST(cluster.Runs("a") == 0);
+  call.request = RequestId("b");
+  cluster.Input(call);
+  cluster.DeliverAll();
+  cluster.RunAll(seconds(1));
+  BOOST_TEST(cluster.Caller("b").answer.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusalMovesTheRequestAndEndsItWhenNobodyIsLeft) {
+  FakeCluster cluster(2);
+  cluster.Input(FakeCluster::PlainCall("a", "POST"));
+  cluster.AgentOf("a").Refuse(kA, Reason::kQueueFull);
+  cluster.DeliverAll();
+  BOOST_TEST(cluster.counts[Reason::kRetriedBeforeFirstToken] == 1);
+  BOOST_TEST(cluster.Caller("a").finals == 0);
+  cluster.AgentOf("a").Refuse(kA, Reason::kServerRefused);
+  cluster.DeliverAll();
+  CheckProblem(&cluster, Reason::kServerRefused, true);
+  BOOST_TEST(cluster.Runs("a") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalAfterAPossibleRunIsNotCalledNotRun) {
+  FakeCluster cluster(2);
+  cluster.Input(FakeCluster::PlainCall("a", "GET"));
+  cluster.AgentOf("a").Start(kA);
+  cluster.AgentOf("a").Interrupt(kA, false);
+  cluster.DeliverAll();
+  BOOST_TEST(cluster.counts[Reason::kServerLost] == 1);
+  cluster.AgentOf("a").Refuse(kA, Reason::kQueueFull);
+  cluster.DeliverAll();
+  CheckProblem(&cluster, Reason::kQueueFull, false);
+}
+
+BOOST_AUTO_TEST_CASE(TooLargeRequestIsNotTriedElsewhere) {
+  FakeCluster cluster(2);
+  cluster.Input(FakeCluster::Generation("a"));
+  cluster.AgentOf("a").Refuse(kA, Reason::kRequestTooLarge);
+  cluster.DeliverAll();
+  CheckProblem(&cluster, Reason::kRequestTooLarge, true);
+}
+
+BOOST_AUTO_TEST_CASE(DyingServerSpendsTheRetryBudgetAndNoMore) {
+  EntryOptions options = FakeCluster::DefaultOptions();
+  options.retry.budget_limit = 5.0;
+  options.retry.budget_per_second = 0.0;
+  FakeCluster cluster(2, 1, options);
+  for (int i = 0; i < 40; ++i) {
+    cluster.Input(FakeCluster::Generation("r" + std::to_string(i)));
+  }
+  const ProcessId victim("agent0");
+  const auto lost = cluster.agents.at(victim).Requests().size();
+  BOOST_REQUIRE(lost > 5U);
+  cluster.LinkDown(victim);
+  BOOST_TEST(cluster.counts[Reason::kRetriedBeforeFirstToken] == 5);
+  BOOST_TEST(cluster.counts[Reason::kRetryBudgetSpent] ==
+             static_cast<int>(lost) - 5);
+  // Successes earn retries again: ten for one.
+  for (const RequestId& request :
+       cluster.agents.at(ProcessId("agent1")).Requests()) {
+    cluster.AgentOf(request.value()).Finish(request);
+  }
+  cluster.DeliverAll();
+  cluster.LinkUp(victim);
+  cluster.Input(FakeCluster::Generation("a"));
+  cluster.LinkDown(cluster.HolderOf("a"));
+  BOOST_TEST(cluster.counts[Reason::kRetriedBeforeFirstToken] == 6);
+}
+
+BOOST_AUTO_TEST_CASE(PlannedMovesSpendNoBudget) {
+  EntryOptions options = FakeCluster::DefaultOptions();
+  options.retry.budget_limit = 0.0;
+  for (const Reason reason :
+       {Reason::kServerDraining, Reason::kStopping, Reason::kReclaimMove}) {
+    FakeCluster cluster(2, 1, options);
+    cluster.Input(FakeCluster::Generation("a"));
+    cluster.AgentOf("a").Refuse(kA, reason);
+    cluster.DeliverAll();
+    BOOST_TEST(cluster.counts[Reason::kRetriedBeforeFirstToken] == 1);
+    BOOST_TEST(cluster.Caller("a").finals == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReclaimedServerMovesWhatHasNotBegun) {
+  FakeCluster cluster(2);
+  cluster.Input(FakeCluster::Generation("a"));
+  const ProcessId left = cluster.HolderOf("a");
+  cluster.Tell(left, RequestInterrupted{kA, 1, Reason::kReclaimMove, true});
+  BOOST_TEST(cluster.counts[Reason::kReclaimMove] == 1);
+  BOOST_TEST(cluster.HolderOf("a") != left);
+  BOOST_TEST(cluster.HolderOf("a") != ProcessId("none"));
+}
+
+BOOST_AUTO_TEST_CASE(SilentAgentLosesWhatHasNotBegun) {
+  FakeCluster cluster(2);
+  cluster.Input(FakeCluster::Generation("a"));
+  const ProcessId silent = cluster.HolderOf("a");
+  for (int i = 0; i < 16; ++i) {
+    for (const auto& [id, agent] : cluster.agents) {
+      if (id != silent) cluster.Tell(id, agent.Report());
+    }
+    cluster.Advance(milliseconds(250));
+  }
+  BOOST_TEST(cluster.counts[Reason::kAgentLost] == 1);
+  BOOST_TEST(cluster.HolderOf("a") != silent);
+  BOOST_TEST(cluster.HolderOf("a") != ProcessId("none"));
+}
+
+BOOST_AUTO_TEST_CASE(SilentPlainCallEndsAsUnknown) {
+  FakeCluster cluster(1);
+  cluster.Input(FakeCluster::PlainCall("a", "POST"));
+  cluster.Pass(seconds(59));
+  BOOST_TEST(cluster.Caller("a").finals == 0);
+  cluster.Pass(seconds(2));
+  CheckProblem(&cluster, Reason::kOutcomeUnknown, false);
+  BOOST_TEST(cluster.counts[Reason::kStreamStalled] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(StalledStreamIsResumedAndGoesOn) {
+  FakeCluster cluster(1);
+  StartStream(&cluster);
+  cluster.Pass(seconds(3));
+  BOOST_TEST(cluster.counts[Reason::kStreamStalled] == 1);
+  BOOST_TEST(cluster.counts[Reason::kResumed] == 1);
+  cluster.AgentOf("a").Finish(kA);
+  cluster.DeliverAll();
+  BOOST_TEST(cluster.Caller("a").tokens.size() == kStreamTokens);
+  BOOST_TEST(cluster.Caller("a").end.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StreamThatStaysSilentEndsIncomplete) {
+  FakeCluster cluster(1);
+  StartStream(&cluster);
+  cluster.Pass(seconds(7));
+  CheckProblem(&cluster, Reason::kStreamIncomplete, false);
+  BOOST_TEST(cluster.HolderOf("a") == ProcessId("none"));
+}
+
+BOOST_AUTO_TEST_CASE(AgentThatNeverComesBackEndsTheStreamIncomplete) {
+  FakeCluster cluster(2);
+  StartStream(&cluster);
+  cluster.LinkDown(cluster.HolderOf("a"));
+  BOOST_TEST(cluster.counts[Reason::kAgentLost] == 1);
+  cluster.Pass(seconds(2));
+  CheckProblem(&cluster, Reason::kStreamIncomplete, false);
+}
+
+BOOST_AUTO_TEST_CASE(EngineErrorIsPassedOn) {
+  FakeCluster cluster(1);
+  StartStream(&cluster);
+  RequestCompleted failed;
+  failed.request = kA;
+  failed.status = 500;
+  cluster.Tell(ProcessId("agent0"), failed);
+  CheckProblem(&cluster, Reason::kServerError, false);
+}
+
+BOOST_AUTO_TEST_CASE(FramesThatDoNotFitAreDroppedAndCounted) {
+  FakeCluster cluster(1);
+  StartStream(&cluster);
+  const ProcessId agent("agent0");
+  cluster.Tell(agent, TokenFrame{kA, 1, 0, "again"});
+  cluster.Tell(agent, TokenFrame{kA, 9, 1, "foreign"});
+  cluster.Tell(agent, TokenFrame{kA, 1, 3, "early"});
+  BOOST_TEST(cluster.Caller("a").tokens.size() == 1U);
+  BOOST_TEST(cluster.counts[Reason::kDuplicateFrame] == 1);
+  BOOST_TEST(cluster.counts[Reason::kStaleGeneration] == 1);
+  BOOST_TEST(cluster.counts[Reason::kFrameGap] == 1);
+  BOOST_TEST(cluster.counts[Reason::kResumed] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SlowCallerHarmsOnlyItself) {
+  FakeCluster cluster(1);
+  StartStream(&cluster);
+  cluster.Input(FakeCluster::Generation("other"));
+  cluster.Input(CallerBacklog{kA, 65537});
+  CheckProblem(&cluster, Reason::kSlowCaller, false);
+  BOOST_TEST(cluster.HolderOf("a") == ProcessId("none"));
+  cluster.AgentOf("other").Finish(RequestId("other"));
+  cluster.DeliverAll();
+  BOOST_TEST(cluster.Caller("other").end.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatTakesNothingIsGivenUp) {
+  EntryOptions options = FakeCluster::DefaultOptions();
+  options.retry.stall = seconds(60);
+  FakeCluster cluster(1, 1, options);
+  StartStream(&cluster);
+  cluster.Input(CallerBacklog{kA, 100});
+  cluster.Advance(seconds(9));
+  cluster.Input(CallerBacklog{kA, 50});
+  cluster.Advance(seconds(9));
+  BOOST_TEST(cluster.Caller("a").finals == 0);
+  cluster.Advance(seconds(1));
+  CheckProblem(&cluster, Reason::kSlowCaller, false);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedRequestNameIsCountedAndIgnored) {
+  FakeCluster cluster(1);
+  cluster.Input(FakeCluster::Generation("a"));
+  cluster.Input(FakeCluster::Generation("a"));
+  BOOST_TEST(cluster.counts[Reason::kBadRequest] == 1);
+  BOOST_TEST(cluster.entry.open_requests() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace coltsfootfork
