--- a/src/core/routing/entry_core.cc
+++ b/src/core/routing/entry_core.cc
@@ -8,6 +8,7 @@
 #include "core/routing/deadline_system.h"
 #include "core/routing/entry_state.h"
 #include "core/routing/request_admission.h"
+#include "core/routing/request_dispatch.h"
 #include "core/routing/zone_map.h"
 
 namespace coltsfootfork {
@@ -37,7 +38,11 @@
     OnAgentDown(state_, down.agent, now_);
   }
   void operator()(const DirectoryChanged& changed) const {
-    state_->servers.ApplyDirectory(changed.agents);
+    for (const ServerIndex gone :
+         state_->servers.ApplyDirectory(changed.agents)) {
+      state_->hints.Forget(gone);
+    }
+    DispatchWaiting(state_, now_);
   }
   void operator()(const ConfigurationInForce& in_force) const {
     state_->configuration = in_force.configuration;
@@ -50,6 +55,9 @@
   void operator()(const StopRequested& /*stop*/) const {
     state_->stopping = true;
   }
+  void operator()(const LimitSharesGranted& granted) const {
+    state_->shares.Grant(granted.shares);
+  }
 
  private:
   EntryState* state_;
@@ -82,6 +90,10 @@
   return state_->stopping && state_->requests.size() == 0;
 }
 
+std::vector<WorkspaceDemand> EntryCore::Demand(Time now) const {
+  return state_->shares.Demand(now);
+}
+
 std::size_t EntryCore::open_requests() const { return state_->requests.size(); }
 
 }  // namespace coltsfootfork
