--- /dev/null
+++ b/bench/scheduling/decision_cost.cc
@@ -0,0 +1,7 @@
+#include "scheduling/decision_cost.h"
+
+namespace coltsfootfork {
+
+void MeasureDecisionCost() {}
+
+}  // namespace coltsfootfork
--- a/include/coltsfootfork/core/scheduling/scheduling_policy.h
+++ b/include/coltsfootfork/core/scheduling/scheduling_policy.h
@@ -24,7 +24,7 @@
 struct AdmitByPredictedPeak {
   // The quantile of the remaining length that a prediction counts with.
   double length_quantile = 0.6;
-  // The share of memory that only urgent work may take.
+  // The least share of memory and batch that only urgent work may take.
   double urgent_headroom = 0.04;
   // Prompt tokens that deferrable work may have in prefill at one time.
   std::uint32_t prefill_tokens = 2048;
--- a/src/core/scheduling/admission.cc
+++ b/src/core/scheduling/admission.cc
@@ -11,6 +11,9 @@
 
 // Tokens between two predictions for one request.
 constexpr std::uint32_t kRefreshTokens = 16;
+// The share of memory and batch that only the first request of a workspace
+// may take.
+constexpr double kKeptForSmall = 0.02;
 constexpr double kReserveStep = 0.02;
 constexpr double kLargestReserve = 0.4;
 // What is left of the reserve after one interval without a preemption.
@@ -32,6 +35,11 @@
   return batch;
 }
 
+AdmitByPredictedPeak PredictionOf(const AdmissionPolicy& policy) {
+  const auto* predicted = std::get_if<AdmitByPredictedPeak>(&policy);
+  return predicted == nullptr ? AdmitByPredictedPeak() : *predicted;
+}
+
 double HeldAtStart(const Dispatch& dispatch) {
   return static_cast<double>(dispatch.prompt_tokens) + dispatch.first_index;
 }
@@ -41,49 +49,64 @@
 // Applies the bounds that differ between policies.
 struct Admission::FitsPolicy {
   const Admission& admission;
-  const QueuedRequest& request;
-  // Held to the bounds of urgent work.
-  bool privileged;
+  const Dispatch& dispatch;
+  Privilege privilege;
   const RunningTable& running;
   const LengthPredictor& lengths;
 
+  double Memory() const {
+    return static_cast<double>(admission.limits_.memory_tokens);
+  }
+
   bool operator()(const AdmitUntilFull& /*policy*/) const {
-    const double memory = static_cast<double>(admission.limits_.memory_tokens);
-    if (memory == 0) return true;
-    return HeldNow(running) + HeldAtStart(request.dispatch) + 1 <= memory;
+    return HeldNow(running) + HeldAtStart(dispatch) + 1 <= Memory();
   }
 
   bool operator()(const AdmitByPredictedPeak& policy) const {
-    const double memory = static_cast<double>(admission.limits_.memory_tokens);
-    if (memory == 0) return true;
-    const Rank rank = privileged ? Rank::kUrgent : Rank::kDeferrable;
-    if (running.size() >= admission.batch_.Limit(rank)) return false;
-    if (!privileged && running.prefill_tokens() >= policy.prefill_tokens) {
-      return false;
+    const double kept = KeptFree();
+    if (running.size() >= admission.batch_.Limit() * (1 - kept)) return false;
+    const bool waits_for_prefill =
+        privilege == Privilege::kNone &&
+        running.prefill_tokens() >= policy.prefill_tokens;
+    if (waits_for_prefill) return false;
+    return Peak() <= Memory() * (1 - admission.reserve_ - kept);
+  }
+
+  // The share of memory and batch that this request leaves alone.
+  double KeptFree() const {
+    switch (privilege) {
+      case Privilege::kNone:
+        return kKeptForSmall + admission.headroom_.share();
+      case Privilege::kFull:
+        return kKeptForSmall;
+      case Privilege::kFirstOfWorkspace:
+        break;
     }
-    const double headroom = privileged ? 0 : policy.urgent_headroom;
-    const double free_share = admission.reserve_ + headroom;
-    return Peak(policy) <= memory * (1 - free_share);
+    return 0;
   }
 
-  double Peak(const AdmitByPredictedPeak& policy) const {
-    const Dispatch& dispatch = request.dispatch;
+  double Peak() const {
     std::vector<MemoryUse> batch = UseOf(running);
     batch.push_back(
         {HeldAtStart(dispatch),
          lengths.Remaining(dispatch.service, dispatch.workspace,
                            dispatch.first_index, dispatch.max_output_tokens,
-                           policy.length_quantile)});
+                           admission.length_quantile_)});
     return PredictPeak(std::move(batch));
   }
 };
 
+Admission::Admission(AdmissionPolicy policy)
+    : policy_(policy),
+      length_quantile_(PredictionOf(policy).length_quantile),
+      headroom_(PredictionOf(policy).urgent_headroom) {}
+
 void Admission::SetServer(const ServerLimits& limits) {
   limits_ = limits;
   batch_.SetMost(limits.max_batch);
 }
 
-bool Admission::MayStart(const QueuedRequest& request, bool is_floor,
+bool Admission::MayStart(const Dispatch& dispatch, Privilege privilege,
                          const RunningTable& running,
                          const LengthPredictor& lengths) const {
   // An empty server takes anything: nothing else can make room.
@@ -91,17 +114,12 @@
   if (limits_.max_batch > 0 && running.size() >= limits_.max_batch) {
     return false;
   }
-  const bool privileged = is_floor || request.dispatch.rank == Rank::kUrgent;
-  return std::visit(FitsPolicy{*this, request, privileged, running, lengths},
+  // A plain service has no memory of prompts.
+  if (limits_.memory_tokens == 0) return true;
+  return std::visit(FitsPolicy{*this, dispatch, privilege, running, lengths},
                     policy_);
 }
 
-double Admission::LengthQuantile() const {
-  const auto* policy = std::get_if<AdmitByPredictedPeak>(&policy_);
-  return policy == nullptr ? AdmitByPredictedPeak().length_quantile
-                           : policy->length_quantile;
-}
-
 void Admission::Refresh(RunningRequest& request,
                         const LengthPredictor& lengths) const {
   const bool is_first = request.predicted_remaining == 0;
@@ -110,7 +128,7 @@
   }
   request.predicted_remaining =
       lengths.Remaining(request.service, request.workspace, request.next_index,
-                        request.max_output_tokens, LengthQuantile());
+                        request.max_output_tokens, length_quantile_);
   request.predicted_at = request.next_index;
 }
 
@@ -121,6 +139,7 @@
 
 void Admission::Observe(std::uint32_t running, Time now) {
   batch_.Observe(running, now);
+  headroom_.Observe(now);
   if (now - reserve_changed_ < kReserveInterval) return;
   reserve_ *= kReserveDecay;
   reserve_changed_ = now;
--- a/src/core/scheduling/admission.h
+++ b/src/core/scheduling/admission.h
@@ -5,8 +5,8 @@
 #include "coltsfootfork/core/scheduling/scheduling_policy.h"
 #include "core/scheduling/batch_bound.h"
 #include "core/scheduling/length_predictor.h"
-#include "core/scheduling/queued_request.h"
 #include "core/scheduling/running_table.h"
+#include "core/scheduling/urgent_headroom.h"
 
 namespace coltsfootfork {
 
@@ -18,18 +18,27 @@
   std::uint32_t max_batch = 0;
 };
 
+// How far a request may go into what is kept free.
+enum class Privilege : std::uint8_t {
+  // Deferrable work in its turn: leaves the headroom of urgent work alone.
+  kNone = 0,
+  // Urgent work, or deferrable work that is owed its floor.
+  kFull,
+  // Urgent work of a workspace that runs nothing here: a last part is kept
+  // for it, so that it need not wait for a large workspace's streams.
+  kFirstOfWorkspace,
+};
+
 // Decides whether the next request may be handed over now.
 class Admission {
  public:
-  explicit Admission(AdmissionPolicy policy) : policy_(policy) {}
+  explicit Admission(AdmissionPolicy policy);
 
   void SetServer(const ServerLimits& limits);
   BatchBound& batch() { return batch_; }
-  const BatchBound& batch() const { return batch_; }
+  UrgentHeadroom& headroom() { return headroom_; }
 
-  // `is_floor` says that the request's turn is owed by the floor, so that it
-  // is held to the same bounds as urgent work.
-  bool MayStart(const QueuedRequest& request, bool is_floor,
+  bool MayStart(const Dispatch& dispatch, Privilege privilege,
                 const RunningTable& running,
                 const LengthPredictor& lengths) const;
 
@@ -47,11 +56,12 @@
  private:
   struct FitsPolicy;
 
-  double LengthQuantile() const;
-
   AdmissionPolicy policy_;
+  // The quantile of the remaining length that a prediction counts with.
+  double length_quantile_;
   ServerLimits limits_;
   BatchBound batch_;
+  UrgentHeadroom headroom_;
   double reserve_ = 0;
   Time reserve_changed_;
 };
--- a/src/core/scheduling/batch_bound.cc
+++ b/src/core/scheduling/batch_bound.cc
@@ -18,8 +18,6 @@
 constexpr double kGoodShare = 0.025;
 constexpr double kDecrease = 0.93;
 constexpr double kSlowStartGrowth = 1.5;
-// What urgent work may run beyond the bound.
-constexpr double kUrgentExcess = 0.1;
 // How long after its last urgent request a server keeps to urgent gaps.
 constexpr std::chrono::seconds kUrgentMemory{30};
 
@@ -78,9 +76,4 @@
   limit_ = std::clamp(limit_, kSmallestLimit, most_);
 }
 
-std::uint32_t BatchBound::Limit(Rank rank) const {
-  const double excess = rank == Rank::kUrgent ? 1 + limit_ * kUrgentExcess : 0;
-  return static_cast<std::uint32_t>(std::min(limit_ + excess, most_));
-}
-
 }  // namespace coltsfootfork
--- a/src/core/scheduling/batch_bound.h
+++ b/src/core/scheduling/batch_bound.h
@@ -14,6 +14,8 @@
 // this needs no model of how the gap grows with batch, context and prefill.
 class BatchBound {
  public:
+  BatchBound();
+
   // `target` is the longest gap that a rank is promised.
   void SetTarget(Rank rank, Duration target);
   // `most` is the server's own bound on requests; zero for none.
@@ -26,9 +28,8 @@
   // To be called each tick with the number of requests that run.
   void Observe(std::uint32_t running, Time now);
 
-  // Requests that may run at once. Urgent work may pass the bound a little, so
-  // that it need not wait for a stream to end.
-  std::uint32_t Limit(Rank rank) const;
+  // Requests that may run at once.
+  double Limit() const { return limit_; }
 
  private:
   Duration Target() const;
@@ -44,9 +45,6 @@
   std::uint32_t gaps_ = 0;
   std::uint32_t late_gaps_ = 0;
   std::uint32_t most_running_ = 0;
-
- public:
-  BatchBound();
 };
 
 }  // namespace coltsfootfork
--- a/src/core/scheduling/floor_ledger.h
+++ b/src/core/scheduling/floor_ledger.h
@@ -1,30 +1,43 @@
 #pragma once
 
+#include <cstdint>
+
 #include "coltsfootfork/core/types/rank.h"
 
 namespace coltsfootfork {
 
+// How many requests run, and how many of them are deferrable.
+struct BatchShare {
+  std::uint32_t running = 0;
+  std::uint32_t deferrable = 0;
+};
+
 // Keeps the deferrable rank's floor while both ranks want more than there is.
-// Counts tokens of work handed over during that contention: what deferrable
-// work got otherwise neither helps nor harms it.
+// Each running request makes a token a step, so the rank's share of the batch
+// is its share of tokens at once; what rounding and prefill take from it is
+// made good from a count of the tokens really made. It needs no predicted
+// length.
 class FloorLedger {
  public:
   // `floor` is the share of tokens, from 0 to 1.
   void SetFloor(double floor) { floor_ = floor; }
   double floor() const { return floor_; }
 
-  // Whether the next hand-over belongs to deferrable work.
-  bool DeferrableDue() const { return owed_ > 0; }
+  // Whether the next hand-over belongs to deferrable work, whose next request
+  // is expected to make `next_tokens`.
+  bool DeferrableDue(const BatchShare& batch, double next_tokens) const;
 
-  // Counts tokens of one rank, or takes them back with a negative number.
-  void Charge(Rank rank, double tokens);
+  // Counts tokens made while both ranks have waiting work.
+  void CountMade(Rank rank, double tokens, double next_tokens);
 
   // Ends the contention: no credit and no debt is kept.
   void Reset() { owed_ = 0; }
 
  private:
   double floor_ = 0;
-  // Tokens that deferrable work is short of its share.
+  // Tokens that deferrable work is short of its share. Tokens that it made
+  // beyond its share, since streams from before the flood go on, are not
+  // taken back from it, but for one request's worth.
   double owed_ = 0;
 };
 
--- a/src/core/scheduling/request_queue.cc
+++ b/src/core/scheduling/request_queue.cc
@@ -70,47 +70,47 @@
   return result;
 }
 
-Rank RequestQueue::NextRank() const {
-  const bool urgent = !lanes_[RankIndex(Rank::kUrgent)].empty();
-  const bool deferrable = !lanes_[RankIndex(Rank::kDeferrable)].empty();
-  if (!urgent) return Rank::kDeferrable;
-  if (!deferrable) return Lanes(Rank::kUrgent).Head().dispatch.rank;
-  return floor_.DeferrableDue() ? Rank::kDeferrable : Rank::kUrgent;
+bool RequestQueue::BothWait() const {
+  return !lanes_[RankIndex(Rank::kUrgent)].empty() &&
+         !lanes_[RankIndex(Rank::kDeferrable)].empty();
 }
 
-bool RequestQueue::NextIsFloor() const {
-  return !lanes_[RankIndex(Rank::kUrgent)].empty() &&
-         !lanes_[RankIndex(Rank::kDeferrable)].empty() &&
-         floor_.DeferrableDue();
+double RequestQueue::NextDeferrableTokens() const {
+  return Lanes(Rank::kDeferrable).Head().expected_tokens;
 }
 
-void RequestQueue::EndContentionIfOver() {
-  if (lanes_[RankIndex(Rank::kUrgent)].empty() ||
-      lanes_[RankIndex(Rank::kDeferrable)].empty()) {
-    floor_.Reset();
+Turn RequestQueue::Next(const BatchShare& batch) const {
+  const FairQueue& first = lanes_[RankIndex(Rank::kUrgent)];
+  if (first.empty()) return {Rank::kDeferrable, false};
+  if (BothWait() && floor_.DeferrableDue(batch, NextDeferrableTokens())) {
+    return {Rank::kDeferrable, true};
   }
+  return {first.Head().dispatch.rank, false};
 }
 
-StartedRequest RequestQueue::PopHead(Rank rank, double tokens) {
+void RequestQueue::EndContentionIfOver() {
+  if (!BothWait()) floor_.Reset();
+}
+
+QueuedRequest RequestQueue::PopHead(Rank rank, double tokens) {
   FairQueue& lanes = Lanes(rank);
-  StartedRequest started;
-  started.in_contention = !lanes_[RankIndex(Rank::kUrgent)].empty() &&
-                          !lanes_[RankIndex(Rank::kDeferrable)].empty();
   const auto found = places_.find(lanes.Head().dispatch.request);
   deadlines_.erase({lanes.Head().start_by, found->second.serial});
   places_.erase(found);
-  started.request = lanes.PopHead(tokens);
-  if (started.in_contention) floor_.Charge(rank, tokens);
+  QueuedRequest request = lanes.PopHead(tokens);
   EndContentionIfOver();
-  return started;
+  return request;
 }
 
 void RequestQueue::Correct(Rank rank, const WorkspaceId& workspace,
-                           bool in_contention, double tokens) {
+                           double tokens) {
   Lanes(rank).Charge(LaneName(workspace), tokens);
-  const bool contended = !lanes_[RankIndex(Rank::kUrgent)].empty() &&
-                         !lanes_[RankIndex(Rank::kDeferrable)].empty();
-  if (in_contention && contended) floor_.Charge(rank, tokens);
+}
+
+void RequestQueue::CountMade(Rank rank, double tokens) {
+  if (BothWait()) {
+    floor_.CountMade(rank, tokens, NextDeferrableTokens());
+  }
 }
 
 std::optional<QueuedRequest> RequestQueue::Remove(const RequestId& request) {
@@ -130,6 +130,7 @@
     if (places_.at(id).place.request->entry == entry) of_entry.push_back(id);
   }
   std::vector<QueuedRequest> removed;
+  removed.reserve(of_entry.size());
   for (const RequestId& id : of_entry) removed.push_back(*Remove(id));
   return removed;
 }
--- a/src/core/scheduling/request_queue.h
+++ b/src/core/scheduling/request_queue.h
@@ -15,11 +15,10 @@
 
 namespace coltsfootfork {
 
-// A request that was taken out to be handed over.
-struct StartedRequest {
-  QueuedRequest request;
-  // Its tokens count for the floor of the deferrable rank.
-  bool in_contention = false;
+// Whose head goes next, and whether that is owed by the floor.
+struct Turn {
+  Rank rank = Rank::kUrgent;
+  bool is_floor = false;
 };
 
 // What became of a request that was to wait.
@@ -54,17 +53,17 @@
   }
 
   // The rank whose head goes next. Only when not empty.
-  Rank NextRank() const;
-  // Whether the head goes next because the floor is owed to its rank.
-  bool NextIsFloor() const;
+  Turn Next(const BatchShare& batch) const;
   const QueuedRequest& Head(Rank rank) const { return Lanes(rank).Head(); }
 
-  // Takes out the head of a rank and charges the tokens.
-  StartedRequest PopHead(Rank rank, double tokens);
+  // Takes out the head of a rank and charges its workspace with the tokens.
+  QueuedRequest PopHead(Rank rank, double tokens);
 
   // Corrects a charge by the tokens really made.
-  void Correct(Rank rank, const WorkspaceId& workspace, bool in_contention,
-               double tokens);
+  void Correct(Rank rank, const WorkspaceId& workspace, double tokens);
+
+  // Counts tokens that the server has made.
+  void CountMade(Rank rank, double tokens);
 
   std::optional<QueuedRequest> Remove(const RequestId& request);
   std::vector<QueuedRequest> RemoveOfEntry(const ProcessId& entry);
@@ -89,6 +88,8 @@
   const FairQueue& Lanes(Rank rank) const {
     return lanes_.at(LanesIndex(rank));
   }
+  bool BothWait() const;
+  double NextDeferrableTokens() const;
   WorkspaceId LaneName(const WorkspaceId& workspace) const;
   void EndContentionIfOver();
   std::optional<QueuedRequest> MakeRoom(FairQueue& lanes,
--- a/src/core/scheduling/running_table.cc
+++ b/src/core/scheduling/running_table.cc
@@ -12,6 +12,7 @@
 
 void RunningTable::Add(RunningRequest request) {
   ++sizes_.at(RankIndex(request.rank));
+  ++by_workspace_[request.workspace];
   prefill_tokens_ += request.prompt_tokens;
   RequestId id = request.request;
   requests_.emplace(std::move(id), std::move(request));
@@ -29,10 +30,17 @@
   return found;
 }
 
+std::uint32_t RunningTable::size(const WorkspaceId& workspace) const {
+  const auto found = by_workspace_.find(workspace);
+  return found == by_workspace_.end() ? 0 : found->second;
+}
+
 void RunningTable::Remove(const RequestId& request) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) return;
   --sizes_.at(RankIndex(found->second.rank));
+  const auto of_workspace = by_workspace_.find(found->second.workspace);
+  if (--of_workspace->second == 0) by_workspace_.erase(of_workspace);
   if (found->second.in_prefill()) {
     prefill_tokens_ -= found->second.prompt_tokens;
   }
--- a/src/core/scheduling/running_table.h
+++ b/src/core/scheduling/running_table.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 
 #include "coltsfootfork/core/messages/request_messages.h"
 #include "coltsfootfork/core/types/time.h"
@@ -30,7 +31,6 @@
   bool preempted = false;
   // Output tokens that its workspace was charged with.
   double charged_tokens = 0;
-  bool in_contention = false;
   // Tokens predicted to be left when next_index was predicted_at.
   double predicted_remaining = 0;
   std::uint32_t predicted_at = 0;
@@ -65,12 +65,15 @@
     return static_cast<std::uint32_t>(requests_.size());
   }
   std::uint32_t size(Rank rank) const { return sizes_[RankIndex(rank)]; }
+  // Requests of a workspace in any rank.
+  std::uint32_t size(const WorkspaceId& workspace) const;
   // Prompt tokens of requests without a first token.
   std::uint64_t prefill_tokens() const { return prefill_tokens_; }
 
  private:
   Map requests_;
   std::array<std::uint32_t, kRankCount> sizes_{};
+  std::unordered_map<WorkspaceId, std::uint32_t> by_workspace_;
   std::uint64_t prefill_tokens_ = 0;
 };
 
--- a/src/core/scheduling/starter.cc
+++ b/src/core/scheduling/starter.cc
@@ -1,15 +1,16 @@
 #include "core/scheduling/starter.h"
 
+#include <cmath>
 #include <utility>
 
 namespace coltsfootfork {
 namespace {
 
-RunningRequest ToRunning(const AgentState& state, const StartedRequest& started,
+RunningRequest ToRunning(const AgentState& state, const QueuedRequest& started,
                          Time now) {
-  const Dispatch& dispatch = started.request.dispatch;
+  const Dispatch& dispatch = started.dispatch;
   RunningRequest running;
-  running.entry = started.request.entry;
+  running.entry = started.entry;
   running.request = dispatch.request;
   running.generation = dispatch.generation;
   running.workspace = dispatch.workspace;
@@ -23,17 +24,36 @@
   running.next_index = dispatch.first_index;
   running.started = now;
   running.last_progress = now;
-  running.charged_tokens = started.request.expected_tokens;
-  running.in_contention = started.in_contention;
+  running.charged_tokens = started.expected_tokens;
   state.admission.Refresh(running, state.lengths);
   return running;
 }
 
+// Urgent work that waited while deferrable work ran beyond its floor calls
+// for more headroom.
+void NoteWait(AgentState& state, const QueuedRequest& started, Time now) {
+  if (started.dispatch.rank != Rank::kUrgent) return;
+  const double floor = state.queue.floor() * (state.running.size() + 1);
+  if (state.running.size(Rank::kDeferrable) <= std::ceil(floor)) return;
+  state.admission.headroom().CountWait(now - started.arrived);
+}
+
+// How the head of the line is held to the bounds.
+Privilege PrivilegeOf(const AgentState& state, const Turn& turn,
+                      const Dispatch& head) {
+  if (turn.rank != Rank::kUrgent) {
+    return turn.is_floor ? Privilege::kFull : Privilege::kNone;
+  }
+  const bool alone = state.running.size(head.workspace) == 0;
+  return alone ? Privilege::kFirstOfWorkspace : Privilege::kFull;
+}
+
 void StartHead(AgentState& state, Rank rank, Time now, Effects& effects) {
   const double tokens = state.queue.Head(rank).expected_tokens;
-  StartedRequest started = state.queue.PopHead(rank, tokens);
+  QueuedRequest started = state.queue.PopHead(rank, tokens);
+  NoteWait(state, started, now);
   state.running.Add(ToRunning(state, started, now));
-  effects.ToEngine(EngineSubmit{std::move(started.request.dispatch)});
+  effects.ToEngine(EngineSubmit{std::move(started.dispatch)});
 }
 
 }  // namespace
@@ -41,14 +61,15 @@
 void StartWhatFits(AgentState& state, Time now, Effects& effects) {
   if (!state.Serving()) return;
   while (!state.queue.empty()) {
-    const Rank rank = state.queue.NextRank();
-    const QueuedRequest& head = state.queue.Head(rank);
-    const bool is_floor = state.queue.NextIsFloor();
-    if (!state.admission.MayStart(head, is_floor, state.running,
+    const Turn turn = state.queue.Next(
+        {state.running.size(), state.running.size(Rank::kDeferrable)});
+    const Dispatch& head = state.queue.Head(turn.rank).dispatch;
+    const Privilege privilege = PrivilegeOf(state, turn, head);
+    if (!state.admission.MayStart(head, privilege, state.running,
                                   state.lengths)) {
       return;
     }
-    StartHead(state, rank, now, effects);
+    StartHead(state, turn.rank, now, effects);
   }
 }
 
--- /dev/null
+++ b/src/core/scheduling/urgent_headroom.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// The share of memory and batch that deferrable work leaves free, so that
+// urgent work starts without waiting for a stream to end. It grows each time
+// urgent work has waited behind deferrable work, and shrinks slowly, so that
+// it follows the urgent demand without a model of it.
+class UrgentHeadroom {
+ public:
+  // `least` is kept free always, from 0 to 1.
+  explicit UrgentHeadroom(double least) : least_(least), share_(least) {}
+
+  // Counts the start of urgent work after a wait behind deferrable work that
+  // had more than its floor.
+  void CountWait(Duration wait);
+  void Observe(Time now);
+
+  double share() const { return share_; }
+
+ private:
+  double least_;
+  double share_;
+  Time shrunk_;
+};
+
+}  // namespace coltsfootfork
