control_state: Take patches in place instead of reading the document anew

DocumentTree keeps the document as a tree and applies a patch in place; one that does not fit is taken back operation by operation. A replica does not compute the digest any more: the leader checks before it proposes, and each process that puts the document in force checks it as before. Keys that stand twice are found by sorting at the end of an object, not by a set for each.

ARefusedPatchLeavesTheTreeAsItWas failed at first: the inverse of an "add" at "-" was no valid place. The place is now resolved before the operation.

--- /dev/null
+++ b/bench/control_state/measure.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+
+namespace coltsfootfork {
+
+// The median time of one run of a function over several runs.
+std::chrono::microseconds MedianTime(int runs,
+                                     const std::function<void()>& function);
+
+// Bytes that the heap hands out at present.
+std::size_t HeapBytes();
+
+}  // namespace coltsfootfork
--- a/include/coltsfootfork/core/configuration/configuration_follower.h
+++ b/include/coltsfootfork/core/configuration/configuration_follower.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "coltsfootfork/core/configuration/document_tree.h"
 #include "coltsfootfork/core/configuration/serving_rules.h"
 #include "coltsfootfork/core/messages/control_messages.h"
 #include "coltsfootfork/core/types/finding.h"
@@ -99,6 +100,8 @@
  private:
   bool IsBehind() const { return highest_seen_ > in_force(); }
   FollowOutcome TakeDocument(const FetchStateReply& reply, Findings& findings);
+  // The document that a reply leads to, or nothing where it is damaged.
+  std::optional<DocumentTree> TreeOf(const FetchStateReply& reply) const;
   bool TakeDirectory(const FetchStateReply& reply);
   void ForgetSeenUpTo(Revision revision);
   bool MustFetch(Time now) const;
@@ -108,6 +111,8 @@
   Revision floor_;
   Revision highest_seen_;
   std::shared_ptr<const ServingRules> rules_;
+  // The document in force, and what it looks like as text.
+  DocumentTree tree_;
   std::string document_;
   std::string digest_;
   // When each newer revision was first heard of.
--- a/include/coltsfootfork/core/control_state/control_service.h
+++ b/include/coltsfootfork/core/control_state/control_service.h
@@ -62,7 +62,7 @@
   ServiceAnswer Propose(const PutConfiguration& put,
                         std::chrono::milliseconds wall_clock, Time now);
   PutConfiguration ForLog(const PutConfiguration& put,
-                          const std::string& canonical) const;
+                          const DocumentTree& tree) const;
   FetchStateReply Fetch(const FetchState& fetch, bool current, Time now);
   RenewLeaseReply Renew(const RenewLease& renew, bool current, Time now);
   ReadStatusReply Status(const LeaderView& view, Time now) const;
--- a/include/coltsfootfork/core/control_state/control_state.h
+++ b/include/coltsfootfork/core/control_state/control_state.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "coltsfootfork/core/configuration/document_tree.h"
 #include "coltsfootfork/core/control_state/change_memory.h"
 #include "coltsfootfork/core/control_state/claim_table.h"
 #include "coltsfootfork/core/control_state/control_command.h"
@@ -36,8 +38,9 @@
 
   // Zero until the first configuration is accepted.
   Revision revision() const { return revision_; }
+  const DocumentTree& tree() const { return tree_; }
   // In canonical form; empty at revision zero.
-  const std::string& document() const { return document_; }
+  const std::string& document() const;
   const std::string& digest() const { return digest_; }
   // The change that made the current revision.
   const std::string& change_id() const { return change_id_; }
@@ -49,10 +52,17 @@
   ControlReply Put(const PutConfiguration& put);
   PutConfigurationReply Decide(const PutConfiguration& put);
   bool Accept(const PutConfiguration& put);
+  std::optional<std::string> TakePatch(const PutConfiguration& put);
+  std::optional<std::string> TakeWhole(const PutConfiguration& put);
+  void TakeRules();
 
   std::chrono::milliseconds clock_{0};
   Revision revision_ = 0;
-  std::string document_;
+  DocumentTree tree_;
+  // The tree as text, written when it is first asked for after a change: a
+  // replay of many changes has no use for the texts in between.
+  mutable std::string document_;
+  mutable bool document_stale_ = false;
   std::string digest_;
   std::string change_id_;
   // Rules of the document that the state itself obeys.
--- a/src/core/configuration/configuration_follower.cc
+++ b/src/core/configuration/configuration_follower.cc
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "coltsfootfork/core/configuration/canonical_form.h"
-#include "coltsfootfork/core/configuration/configuration_delta.h"
-#include "coltsfootfork/core/configuration/parse_configuration.h"
 #include "coltsfootfork/core/configuration/sha256.h"
 
 namespace coltsfootfork {
@@ -14,14 +11,6 @@
 // How many newer revisions are remembered with the time of first hearing.
 constexpr std::size_t kMaxNewerSeen = 64;
 
-std::optional<std::string> ReadWhole(const FetchStateReply& reply) {
-  auto document = CanonicalForm(reply.payload);
-  if (!document.has_value() || Sha256Hex(*document) != reply.digest) {
-    return std::nullopt;
-  }
-  return document;
-}
-
 }  // namespace
 
 ConfigurationFollower::ConfigurationFollower(FollowerLimits limits,
@@ -85,21 +74,29 @@
   if (reply.is_patch && reply.base_revision != in_force()) {
     return FollowOutcome::kUnchanged;
   }
-  auto document = reply.is_patch
-                      ? ApplyDelta(document_, reply.payload, reply.digest)
-                      : ReadWhole(reply);
-  want_whole_ = !document.has_value();
-  if (!document.has_value()) return FollowOutcome::kDigestMismatch;
-  auto configuration = ParseConfiguration(*document, findings);
+  auto tree = TreeOf(reply);
+  std::string document = tree.has_value() ? tree->ToText() : std::string();
+  want_whole_ = !tree.has_value() || Sha256Hex(document) != reply.digest;
+  if (want_whole_) return FollowOutcome::kDigestMismatch;
+  auto configuration = tree->ToConfiguration(findings);
   if (!configuration.has_value()) return FollowOutcome::kInvalid;
   configuration->revision = reply.revision;
   rules_ = std::make_shared<const ServingRules>(
       std::make_shared<const Configuration>(std::move(*configuration)));
-  document_ = std::move(*document);
+  tree_ = std::move(*tree);
+  document_ = std::move(document);
   digest_ = reply.digest;
   return FollowOutcome::kInForce;
 }
 
+std::optional<DocumentTree> ConfigurationFollower::TreeOf(
+    const FetchStateReply& reply) const {
+  if (!reply.is_patch) return DocumentTree::Read(reply.payload);
+  DocumentTree tree = tree_;
+  if (!tree.Patch(reply.payload)) return std::nullopt;
+  return tree;
+}
+
 bool ConfigurationFollower::TakeDirectory(const FetchStateReply& reply) {
   if (!reply.current || reply.directory_version <= directory_version_) {
     return false;
--- /dev/null
+++ b/src/core/configuration/document_check.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "coltsfootfork/core/configuration/configuration.h"
+#include "coltsfootfork/core/types/finding.h"
+
+namespace coltsfootfork {
+
+// Checks a document that has been read as JSON; see ParseConfiguration.
+std::optional<Configuration> CheckDocument(const nlohmann::json& document,
+                                           Findings& findings);
+
+}  // namespace coltsfootfork
--- a/src/core/configuration/json_text.cc
+++ b/src/core/configuration/json_text.cc
@@ -1,7 +1,6 @@
 #include "json_text.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -40,11 +39,7 @@
   bool end_array() override { return Close(); }
 
   bool key(std::string& name) override {
-    Level& level = levels_.back();
-    level.key = name;
-    if (!level.keys.insert(name).second) {
-      findings_.Add(Pointer(), "the key stands twice in its object");
-    }
+    levels_.back().keys.push_back(name);
     return true;
   }
 
@@ -67,8 +62,8 @@
   struct Level {
     bool is_list = false;
     std::size_t next_index = 0;
-    std::string key;
-    std::set<std::string> keys;
+    // Of an object, in the order of the text.
+    std::vector<std::string> keys;
   };
 
   bool Value() {
@@ -82,12 +77,21 @@
       findings_.Add(Pointer(), "objects and lists are nested too deep");
       return false;
     }
-    levels_.push_back({is_list, 0, {}, {}});
+    levels_.push_back({is_list, 0, {}});
     return true;
   }
 
   bool Close() {
+    auto& keys = levels_.back().keys;
+    std::sort(keys.begin(), keys.end());
+    auto twice = std::adjacent_find(keys.begin(), keys.end());
+    const std::string key = twice == keys.end() ? std::string() : *twice;
+    const bool found = twice != keys.end();
     levels_.pop_back();
+    if (found) {
+      findings_.Add(ChildPointer(Pointer(), key),
+                    "the key stands twice in its object");
+    }
     return true;
   }
 
@@ -95,7 +99,7 @@
     std::string pointer;
     for (const Level& level : levels_) {
       pointer = level.is_list ? ChildPointer(pointer, level.next_index - 1)
-                              : ChildPointer(pointer, level.key);
+                              : ChildPointer(pointer, level.keys.back());
     }
     return pointer;
   }
--- a/src/core/configuration/parse_configuration.cc
+++ b/src/core/configuration/parse_configuration.cc
@@ -3,29 +3,22 @@
 #include <nlohmann/json.hpp>
 
 #include "bounded_findings.h"
-#include "coltsfootfork/core/configuration/configuration_keys.h"
-#include "document_reader.h"
+#include "document_check.h"
 #include "json_text.h"
-#include "reference_check.h"
-#include "shape_check.h"
 
 namespace coltsfootfork {
 
 std::optional<Configuration> ParseConfiguration(std::string_view json_text,
                                                 Findings& findings) {
-  Findings own;
-  BoundedFindings bounded(own);
-  std::optional<Configuration> configuration;
+  Findings reading;
+  BoundedFindings bounded(reading);
   const auto document = ReadJsonText(json_text, bounded);
-  if (document.has_value()) {
-    CheckShape(*document, ConfigurationKeys(), bounded);
-    configuration = ReadDocument(*document);
-    CheckReferences(*configuration, bounded);
-  }
-  for (const Finding& finding : own.list()) {
+  for (const Finding& finding : reading.list()) {
     findings.Add(finding.place, finding.problem);
   }
-  if (!own.empty()) return std::nullopt;
+  if (!document.has_value()) return std::nullopt;
+  auto configuration = CheckDocument(*document, findings);
+  if (!reading.empty()) return std::nullopt;
   return configuration;
 }
 
--- a/src/core/control_state/control_service.cc
+++ b/src/core/control_state/control_service.cc
@@ -4,8 +4,6 @@
 #include <string>
 #include <utility>
 
-#include "coltsfootfork/core/configuration/canonical_form.h"
-#include "coltsfootfork/core/configuration/configuration_delta.h"
 #include "coltsfootfork/core/configuration/parse_configuration.h"
 #include "coltsfootfork/core/configuration/sha256.h"
 
@@ -114,7 +112,7 @@
   if (rules_revision_ == state_.revision()) return;
   rules_revision_ = state_.revision();
   Findings findings;
-  auto configuration = ParseConfiguration(state_.document(), findings);
+  auto configuration = state_.tree().ToConfiguration(findings);
   // A document of a newer binary: the former inventory stays.
   if (!configuration.has_value()) return;
   configuration->revision = rules_revision_;
@@ -137,21 +135,25 @@
   if (!IsChangeId(put.change_id)) {
     findings.Add("Change-Id", "must be 1 to 128 printable characters");
   }
-  const auto canonical = CanonicalForm(put.document);
-  const bool checked = ParseConfiguration(put.document, findings).has_value() &&
-                       canonical.has_value() && findings.empty();
-  if (!checked) {
+  const auto tree = DocumentTree::Read(put.document);
+  Findings in_tree;
+  // The tree has its lists sorted: places are those of the text as written.
+  if (!tree.has_value() || !tree->ToConfiguration(in_tree).has_value()) {
+    ParseConfiguration(put.document, findings);
+  }
+  if (!tree.has_value() || !findings.empty()) {
     PutConfigurationReply reply;
     reply.verdict = PutVerdict::kInvalid;
     reply.revision = state_.revision();
     reply.findings = findings.list();
     return ControlReply(reply);
   }
-  return Command(ForLog(put, *canonical), wall_clock, now);
+  return Command(ForLog(put, *tree), wall_clock, now);
 }
 
 PutConfiguration ControlService::ForLog(const PutConfiguration& put,
-                                        const std::string& canonical) const {
+                                        const DocumentTree& tree) const {
+  const std::string canonical = tree.ToText();
   PutConfiguration change;
   change.expected = put.expected;
   change.change_id = put.change_id;
@@ -161,9 +163,12 @@
   if (put.expected < state_.revision()) return change;
   change.document = canonical;
   if (put.expected != state_.revision() || put.expected == 0) return change;
-  auto patch = MakeDelta(state_.document(), canonical);
-  if (patch.has_value() && patch->size() < canonical.size()) {
-    change.document = std::move(*patch);
+  std::string patch = state_.tree().DeltaTo(tree);
+  DocumentTree patched = state_.tree();
+  const bool leads_there =
+      patched.Patch(patch) && patched.ToText() == canonical;
+  if (leads_there && patch.size() < canonical.size()) {
+    change.document = std::move(patch);
     change.is_patch = true;
   }
   return change;
--- a/src/core/control_state/control_state.cc
+++ b/src/core/control_state/control_state.cc
@@ -7,8 +7,6 @@
 #include <variant>
 
 #include "cbor.h"
-#include "coltsfootfork/core/configuration/canonical_form.h"
-#include "coltsfootfork/core/configuration/configuration_delta.h"
 #include "coltsfootfork/core/configuration/sha256.h"
 #include "control_fields.h"
 
@@ -18,16 +16,7 @@
 using std::chrono::milliseconds;
 using Json = nlohmann::json;
 
-// The rule as the document states it; the default where it states none.
-milliseconds ReadClaimRetention(const std::string& document) {
-  constexpr std::chrono::hours kDefault{24};
-  const Json json = Json::parse(document, nullptr, false);
-  const Json::json_pointer place("/rules/claim_retention_s");
-  if (!json.is_object() || !json.contains(place)) return kDefault;
-  const Json& value = json.at(place);
-  if (!value.is_number_unsigned()) return kDefault;
-  return std::chrono::seconds(value.get<std::int64_t>());
-}
+constexpr std::chrono::hours kDefaultClaimRetention{24};
 
 PutConfigurationReply Refused(const char* place, const char* problem) {
   PutConfigurationReply reply;
@@ -36,14 +25,6 @@
   return reply;
 }
 
-std::optional<std::string> WholeDocument(const PutConfiguration& put) {
-  auto document = CanonicalForm(put.document);
-  if (!document.has_value() || Sha256Hex(*document) != put.digest) {
-    return std::nullopt;
-  }
-  return document;
-}
-
 }  // namespace
 
 template <typename A>
@@ -149,20 +130,49 @@
 }
 
 bool ControlState::Accept(const PutConfiguration& put) {
-  auto document = put.is_patch ? ApplyDelta(document_, put.document, put.digest)
-                               : WholeDocument(put);
-  if (!document.has_value()) return false;
-  auto patch = put.is_patch ? std::optional<std::string>(put.document)
-                            : MakeDelta(document_, *document);
+  auto patch = put.is_patch ? TakePatch(put) : TakeWhole(put);
+  if (!patch.has_value()) return false;
   ++revision_;
-  if (patch.has_value()) deltas_.Add({revision_, std::move(*patch)});
-  document_ = std::move(*document);
+  deltas_.Add({revision_, std::move(*patch)});
+  document_stale_ = true;
   digest_ = put.digest;
   change_id_ = put.change_id;
-  claim_retention_ = ReadClaimRetention(document_);
+  TakeRules();
   return true;
 }
 
+// The leader has checked that its patch leads to the digest, and so does every
+// process that puts the document in force. Checking it here again would make
+// the replay of a log as slow as its documents are large.
+std::optional<std::string> ControlState::TakePatch(
+    const PutConfiguration& put) {
+  if (!tree_.Patch(put.document)) return std::nullopt;
+  return put.document;
+}
+
+std::optional<std::string> ControlState::TakeWhole(
+    const PutConfiguration& put) {
+  auto tree = DocumentTree::Read(put.document);
+  if (!tree.has_value() || Sha256Hex(tree->ToText()) != put.digest) {
+    return std::nullopt;
+  }
+  std::string patch = tree_.DeltaTo(*tree);
+  tree_ = std::move(*tree);
+  return patch;
+}
+
+void ControlState::TakeRules() {
+  const auto seconds = tree_.WholeNumberAt("/rules/claim_retention_s");
+  claim_retention_ = seconds.has_value() ? std::chrono::seconds(*seconds)
+                                         : milliseconds(kDefaultClaimRetention);
+}
+
+const std::string& ControlState::document() const {
+  if (document_stale_) document_ = tree_.ToText();
+  document_stale_ = false;
+  return document_;
+}
+
 FetchStateReply ControlState::Fetch(const FetchState& request) const {
   FetchStateReply reply;
   reply.revision = revision_;
@@ -171,12 +181,12 @@
   reply.digest = digest_;
   auto patch =
       request.whole ? std::nullopt : deltas_.PatchFrom(request.have_revision);
-  if (patch.has_value() && patch->size() < document_.size()) {
+  if (patch.has_value() && patch->size() < document().size()) {
     reply.is_patch = true;
     reply.base_revision = request.have_revision;
     reply.payload = std::move(*patch);
   } else {
-    reply.payload = document_;
+    reply.payload = document();
   }
   return reply;
 }
@@ -185,7 +195,7 @@
   SnapshotFields fields;
   fields.clock = clock_;
   fields.revision = revision_;
-  fields.document = document_;
+  fields.document = document();
   fields.digest = digest_;
   fields.change_id = change_id_;
   fields.deltas = deltas_.List();
@@ -198,13 +208,18 @@
   const auto json = ReadCbor(bytes);
   SnapshotFields fields;
   if (!json.has_value() || !ReadField(*json, fields)) return false;
-  if (!claims_.Restore(fields.claims)) return false;
+  const bool is_empty = fields.revision == 0 && fields.document.empty();
+  auto tree = is_empty ? std::make_optional<DocumentTree>()
+                       : DocumentTree::Read(fields.document);
+  if (!tree.has_value() || !claims_.Restore(fields.claims)) return false;
   clock_ = fields.clock;
   revision_ = fields.revision;
+  tree_ = std::move(*tree);
   document_ = std::move(fields.document);
+  document_stale_ = false;
   digest_ = std::move(fields.digest);
   change_id_ = std::move(fields.change_id);
-  claim_retention_ = ReadClaimRetention(document_);
+  TakeRules();
   deltas_.Clear();
   for (RevisionDelta& delta : fields.deltas) deltas_.Add(std::move(delta));
   changes_ = ChangeMemory();
--- a/tests/core/configuration/hostile_document_test.cc
+++ b/tests/core/configuration/hostile_document_test.cc
@@ -6,6 +6,7 @@
 
 #include "coltsfootfork/core/configuration/canonical_form.h"
 #include "coltsfootfork/core/configuration/configuration_delta.h"
+#include "coltsfootfork/core/configuration/document_tree.h"
 #include "coltsfootfork/core/configuration/parse_configuration.h"
 #include "coltsfootfork/core/configuration/sha256.h"
 #include "core/configuration/sample_document.h"
@@ -135,5 +136,33 @@
   }
 }
 
+// A patch that fails half way must take back what it has done.
+BOOST_AUTO_TEST_CASE(ARefusedPatchLeavesTheTreeAsItWas) {
+  Random random(4);
+  const std::string before =
+      CanonicalForm(ReadExample("quickstart.json")).value();
+  const std::string patch = R"([
+    {"op":"add","path":"/inventory/engines/engine-3","value":{"a":[1,2]}},
+    {"op":"add","path":"/inventory/engines/engine-1","value":7},
+    {"op":"add","path":"/rules/ranks/0","value":{"rank":"urgent"}},
+    {"op":"add","path":"/rules/ranks/-","value":{"rank":"urgent"}},
+    {"op":"remove","path":"/rules/ranks/1"},
+    {"op":"replace","path":"/rules/deferrable_floor","value":0.5},
+    {"op":"remove","path":"/inventory/services"},
+    {"op":"remove","path":"/no/such/place"}])";
+  std::size_t refused = 0;
+  for (int round = 0; round < 5000; ++round) {
+    std::string mutated = patch;
+    if (round > 0) {
+      mutated[random() % mutated.size()] = "019abz/-\"{[,"[random() % 12];
+    }
+    DocumentTree tree = DocumentTree::Read(before).value();
+    if (tree.Patch(mutated)) continue;
+    ++refused;
+    BOOST_TEST_REQUIRE(tree.ToText() == before, mutated);
+  }
+  BOOST_TEST(refused > 4000U);
+}
+
 }  // namespace
 }  // namespace coltsfootfork
