--- a/include/coltsfootfork/core/control_state/claim_table.h
+++ b/include/coltsfootfork/core/control_state/claim_table.h
@@ -16,7 +16,7 @@
 struct ClaimLimits {
   // Claims kept at once. A workspace may hold as many as are still free for
   // all others, so one workspace alone fills half of the table.
-  std::size_t max_claims = 131072;
+  std::size_t max_claims = 65536;
   // Bytes of one stored answer, and of all. A larger one is not kept, and a
   // resend is told that the outcome is unknown.
   std::size_t max_answer_bytes = std::size_t{16} << 10U;
