--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -5,6 +5,7 @@
 
 #include "cli/commands.h"
 #include "cli/help_pages.h"
+#include "shell/log/event.h"
 
 namespace coltsfootfork {
 namespace {
@@ -39,6 +40,7 @@
 }  // namespace coltsfootfork
 
 int main(int argc, char** argv) {
+  coltsfootfork::EndLogThreads();
   try {
     const std::vector<std::string> words(argv + 1, argv + argc);
     return static_cast<int>(coltsfootfork::Main(words));
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -1,6 +1,7 @@
 #include "shell/log/event.h"
 
 #include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -77,8 +78,9 @@
   return "unknown";
 }
 
+void EndLogThreads() { log4cplus::deinitialize(); }
+
 void StartLog(LogLevel lowest) {
-  log4cplus::initialize();
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
                                      /*immediateFlush=*/true));
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -56,6 +56,10 @@
 
 enum class LogLevel { kError, kWarning, kInfo, kDebug };
 
+// Ends the threads that the log library starts when it is loaded: a process of
+// the system has one thread. Call first of all.
+void EndLogThreads();
+
 // Opens the log on standard error. Call once, before the first Log.
 void StartLog(LogLevel lowest);
 
--- a/tests/core/routing/fake_cluster.h
+++ b/tests/core/routing/fake_cluster.h
@@ -29,18 +29,18 @@
 class FakeClaims {
  public:
   ClaimBeginReply Begin(const ClaimBegin& begin) {
-    if (!quorum) return {ClaimVerdict::kNoQuorum, {}};
+    if (!quorum) return {ClaimVerdict::kNoQuorum, {}, {}};
     const auto [place, added] = claims_.try_emplace(begin.claim);
     Claim& claim = place->second;
     if (!added && claim.digest != begin.request_digest) {
-      return {ClaimVerdict::kKeyReused, {}};
+      return {ClaimVerdict::kKeyReused, {}, {}};
     }
     if (!added && claim.verdict != ClaimVerdict::kGranted) {
-      return {claim.verdict, claim.answer};
+      return {claim.verdict, claim.answer, {}};
     }
     claim = {
         begin.request, begin.request_digest, ClaimVerdict::kInProgress, {}};
-    return {ClaimVerdict::kGranted, {}};
+    return {ClaimVerdict::kGranted, {}, {}};
   }
 
   void Settle(const ClaimSettle& settle) {
