adapters: Add the HTTP engine adapter

Only the adapter may know the engines' wire form. It listens for announcements, load and cache events, and runs each dispatch over a connection of its own: an answer can then only belong to its own request, and a cancelled one is closed without touching another. Pooling was ruled out for now: a broken shared connection would leave open which of its requests had run. Tokens are parsed as the bytes come, by a Beast body that keeps none of them.

never_sent is told only where no connection was ever made. A resume that the server no longer knows is EngineRefused, since it will not go on.

--- /dev/null
+++ b/src/adapters/engine_port.cc
@@ -0,0 +1,138 @@
+#include "adapters/engine_port.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace coltsfootfork {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using nlohmann::json;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint32_t kMaxHeaderBytes = 8 << 10;
+
+json ToProblem(http::status status, const Findings& findings) {
+  json list = json::array();
+  for (const Finding& finding : findings.list()) {
+    list.push_back({{"place", finding.place}, {"problem", finding.problem}});
+  }
+  return {{"title", std::string(http::obsolete_reason(status))},
+          {"status", static_cast<int>(status)},
+          {"reason", "bad_request"},
+          {"findings", std::move(list)}};
+}
+
+}  // namespace
+
+// One connection to the port, with its calls one after the other.
+class EnginePort::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(std::shared_ptr<EnginePort> port, tcp::socket socket)
+      : port_(std::move(port)), stream_(std::move(socket)) {
+    ++port_->connections_;
+  }
+  ~Session() { --port_->connections_; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Read() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(port_->limits_.max_body_bytes);
+    stream_.expires_after(port_->limits_.timeout);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          self->OnRead(error);
+        });
+  }
+
+ private:
+  void OnRead(error_code error) {
+    if (!port_->on_call_) return;
+    Findings findings;
+    if (!error) {
+      Call(&findings);
+      return Write(parser_->get().keep_alive(), findings);
+    }
+    // Only what the peer sent wrongly is answered; a closed link is no fault.
+    const bool readable =
+        error == http::error::end_of_stream ||
+        error.category() != http::make_error_code(http::error()).category();
+    if (readable) return;
+    findings.Add("", "cannot be read as HTTP: " + error.message());
+    port_->on_call_("", "", &findings);
+    Write(false, findings);
+  }
+
+  void Call(Findings* findings) {
+    const auto& request = parser_->get();
+    if (request.method() != http::verb::post) {
+      findings->Add("", "is not a POST");
+    }
+    port_->on_call_({request.target().data(), request.target().size()},
+                    request.body(), findings);
+  }
+
+  void Write(bool keep_alive, const Findings& findings) {
+    const auto status =
+        findings.empty() ? http::status::no_content : http::status::bad_request;
+    response_ = {status, kHttp11};
+    response_.keep_alive(keep_alive);
+    if (!findings.empty()) {
+      response_.set(http::field::content_type, "application/problem+json");
+      response_.body() =
+          ToProblem(status, findings)
+              .dump(-1, ' ', false, json::error_handler_t::replace);
+    }
+    response_.prepare_payload();
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (!error && self->response_.keep_alive()) self->Read();
+        });
+  }
+
+  std::shared_ptr<EnginePort> port_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+};
+
+EnginePort::EnginePort(boost::asio::io_context& io, const tcp::endpoint& listen,
+                       const EnginePortLimits& limits, CallHandler on_call)
+    : acceptor_(io, listen), limits_(limits), on_call_(std::move(on_call)) {}
+
+void EnginePort::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (!self->acceptor_.is_open()) return;
+        if (!error && self->connections_ < self->limits_.max_connections) {
+          std::make_shared<Session>(self, std::move(socket))->Read();
+        }
+        self->Accept();
+      });
+}
+
+void EnginePort::Close() {
+  on_call_ = nullptr;
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+std::string EnginePort::address() const {
+  std::ostringstream text;
+  text << acceptor_.local_endpoint();
+  return text.str();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/adapters/http_engine_adapter.cc
@@ -0,0 +1,243 @@
+#include "coltsfootfork/adapters/http_engine_adapter.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "adapters/engine_call.h"
+#include "adapters/engine_decoders.h"
+#include "adapters/engine_port.h"
+#include "adapters/engine_requests.h"
+#include "adapters/http_call.h"
+#include "adapters/ip_endpoint.h"
+
+namespace coltsfootfork {
+
+using boost::asio::ip::tcp;
+
+class HttpEngineAdapter::Impl
+    : public std::enable_shared_from_this<HttpEngineAdapter::Impl> {
+ public:
+  Impl(boost::asio::io_context& io, const HttpEngineAdapterOptions& options,
+       MessageHandler on_message, FindingHandler on_finding)
+      : io_(io),
+        options_(options),
+        on_message_(std::move(on_message)),
+        on_finding_(std::move(on_finding)) {}
+
+  void Listen() {
+    const tcp::endpoint listen(
+        boost::asio::ip::make_address(options_.listen_ip),
+        options_.listen_port);
+    const EnginePortLimits limits{options_.port_timeout,
+                                  options_.max_port_body_bytes,
+                                  options_.max_port_connections};
+    port_ = std::make_shared<EnginePort>(
+        io_, listen, limits,
+        [this](std::string_view target, std::string_view body,
+               Findings* findings) { OnPortCall(target, body, findings); });
+    port_->Accept();
+  }
+
+  void Close() {
+    closed_ = true;
+    port_->Close();
+    for (auto& [key, call] : calls_) call.http->Close();
+    for (auto& [id, call] : other_calls_) call->Close();
+  }
+
+  void Send(AgentToEngine message) {
+    if (auto* submit = std::get_if<EngineSubmit>(&message)) {
+      Submit(std::move(submit->dispatch));
+    } else if (auto* cancel = std::get_if<EngineCancel>(&message)) {
+      Cancel(*cancel);
+    } else {
+      Order(std::get<EngineOrder>(message));
+    }
+  }
+
+  std::string listen_address() const { return port_->address(); }
+  std::size_t open_calls() const { return calls_.size() + other_calls_.size(); }
+
+ private:
+  // A dispatch of a request; a later one of the same takes its place.
+  using CallKey = std::pair<RequestId, Generation>;
+  struct OpenCall {
+    std::shared_ptr<EngineCall> engine;
+    std::shared_ptr<HttpCall> http;
+  };
+
+  void Emit(EngineToAgent message) {
+    if (!closed_) on_message_(std::move(message));
+  }
+  void Report(const Finding& finding) {
+    if (!closed_) on_finding_(finding);
+  }
+  // For what is known at once: the handler must not run within Send().
+  void EmitLater(EngineToAgent message) {
+    boost::asio::post(
+        io_, [weak = weak_from_this(), message = std::move(message)]() mutable {
+          if (auto self = weak.lock()) self->Emit(std::move(message));
+        });
+  }
+
+  void OnPortCall(std::string_view target, std::string_view body,
+                  Findings* findings) {
+    if (findings->empty()) Decode(target, body, findings);
+    for (const Finding& finding : findings->list()) {
+      Report({"engine port " + std::string(target) + finding.place,
+              finding.problem});
+    }
+  }
+
+  void Decode(std::string_view target, std::string_view body,
+              Findings* findings) {
+    if (target == "/engine/v1/announce") {
+      auto announced = DecodeAnnounce(body, findings);
+      if (!announced) return;
+      server_ = ParseIpEndpoint(announced->address);
+      host_ = announced->address;
+      Emit(std::move(announced->message));
+    } else if (target == "/engine/v1/load") {
+      if (auto load = DecodeLoad(body, findings)) Emit(*load);
+    } else if (target == "/engine/v1/cache-events") {
+      if (auto hint = DecodeCacheEvents(body, findings)) {
+        Emit(*std::move(hint));
+      }
+    } else {
+      findings->Add("", "is no path of the engine port");
+    }
+  }
+
+  void Submit(Dispatch dispatch) {
+    const CallKey key(dispatch.request, dispatch.generation);
+    Forget(key);
+    if (!IsSafeForHttp(dispatch)) {
+      return EmitLater(EngineRefused{key.first, key.second});
+    }
+    if (!server_) {
+      return EmitLater(EngineInterrupted{key.first, key.second, true});
+    }
+    auto call = std::make_shared<EngineCall>(
+        dispatch, options_.max_answer_bytes, options_.max_event_bytes,
+        [this](EngineToAgent message) { Emit(std::move(message)); },
+        [this](const Finding& finding) { Report(finding); });
+    HttpCallHandlers handlers;
+    handlers.on_head = [call](const HttpAnswerHead& head) {
+      call->OnHead(head);
+    };
+    handlers.on_body = [call](std::string_view bytes) {
+      return call->OnBody(bytes);
+    };
+    handlers.on_end = [this, call, key](HttpCallEnd end) {
+      calls_.erase(key);
+      call->OnEnd(end);
+    };
+    auto http =
+        Start(MakeRunRequest(std::move(dispatch), host_), std::move(handlers));
+    calls_[key] = {call, http};
+  }
+
+  std::shared_ptr<HttpCall> Start(HttpCallRequest request,
+                                  HttpCallHandlers handlers) {
+    const HttpCallLimits limits{options_.connect_timeout,
+                                options_.silence_timeout};
+    auto call = std::make_shared<HttpCall>(io_, std::move(request), limits,
+                                           std::move(handlers));
+    call->Start(*server_);
+    return call;
+  }
+
+  void Forget(const CallKey& key) {
+    const auto call = calls_.find(key);
+    if (call == calls_.end()) return;
+    call->second.engine->Stop();
+    call->second.http->Close();
+    calls_.erase(call);
+  }
+
+  void Cancel(const EngineCancel& cancel) {
+    Forget({cancel.request, cancel.generation});
+    if (!server_) return;
+    // A cancellation that fails is made good by the server's own check of the
+    // connection that was closed.
+    StartOther(MakeCancelRequest(cancel, host_),
+               [](HttpCallEnd, const std::string&) {});
+  }
+
+  void Order(const EngineOrder& order) {
+    if (!server_) {
+      return EmitLater(
+          EngineOrderResult{order.fence, false, "no server is announced"});
+    }
+    StartOther(
+        MakeOrderRequest(order, host_),
+        [this, fence = order.fence](HttpCallEnd end, const std::string& body) {
+          if (end == HttpCallEnd::kWhole) {
+            return Emit(DecodeOrderResult(fence, body));
+          }
+          Emit(EngineOrderResult{fence, false, "the server did not answer"});
+        });
+  }
+
+  // A call with a short answer that is read whole.
+  void StartOther(
+      HttpCallRequest request,
+      std::function<void(HttpCallEnd, const std::string&)> on_answer) {
+    const std::uint64_t id = ++last_other_;
+    auto body = std::make_shared<std::string>();
+    HttpCallHandlers handlers;
+    handlers.on_head = [](const HttpAnswerHead&) {};
+    handlers.on_body =
+        [body, max = options_.max_event_bytes](std::string_view bytes) {
+          body->append(bytes);
+          return body->size() <= max;
+        };
+    handlers.on_end = [this, id, body,
+                       answer = std::move(on_answer)](HttpCallEnd end) {
+      other_calls_.erase(id);
+      answer(end, *body);
+    };
+    other_calls_[id] = Start(std::move(request), std::move(handlers));
+  }
+
+  boost::asio::io_context& io_;
+  const HttpEngineAdapterOptions options_;
+  MessageHandler on_message_;
+  FindingHandler on_finding_;
+  std::shared_ptr<EnginePort> port_;
+  std::optional<tcp::endpoint> server_;
+  std::string host_;
+  std::map<CallKey, OpenCall> calls_;
+  std::map<std::uint64_t, std::shared_ptr<HttpCall>> other_calls_;
+  std::uint64_t last_other_ = 0;
+  bool closed_ = false;
+};
+
+HttpEngineAdapter::HttpEngineAdapter(boost::asio::io_context& io,
+                                     const HttpEngineAdapterOptions& options,
+                                     MessageHandler on_message,
+                                     FindingHandler on_finding)
+    : impl_(std::make_shared<Impl>(io, options, std::move(on_message),
+                                   std::move(on_finding))) {
+  impl_->Listen();
+}
+
+HttpEngineAdapter::~HttpEngineAdapter() { impl_->Close(); }
+
+void HttpEngineAdapter::Send(AgentToEngine message) {
+  impl_->Send(std::move(message));
+}
+
+std::string HttpEngineAdapter::listen_address() const {
+  return impl_->listen_address();
+}
+
+std::size_t HttpEngineAdapter::open_calls() const {
+  return impl_->open_calls();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/adapters/sink_body.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <boost/asio/buffers_iterator.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional.hpp>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace coltsfootfork {
+
+// A Beast body that hands its bytes on as they are parsed and keeps none.
+struct SinkBody {
+  struct Value {
+    // False ends the reading with http::error::body_limit.
+    std::function<bool(std::string_view bytes)> sink;
+  };
+
+  class Reader {
+   public:
+    template <bool is_request, class Fields>
+    Reader(boost::beast::http::header<is_request, Fields>& /*header*/,
+           Value& body)
+        : body_(body) {}
+
+    void init(const boost::optional<std::uint64_t>& /*length*/,
+              boost::system::error_code& error) {
+      error = {};
+    }
+
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
+      std::size_t taken = 0;
+      error = {};
+      for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        const std::string_view bytes(static_cast<const char*>(buffer.data()),
+                                     buffer.size());
+        if (!body_.sink(bytes)) {
+          error = boost::beast::http::error::body_limit;
+          return taken;
+        }
+        taken += bytes.size();
+      }
+      return taken;
+    }
+
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    Value& body_;
+  };
+
+  // The names that Beast asks for.
+  using value_type = Value;
+  using reader = Reader;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/adapters/http_engine_adapter_test.cc
@@ -0,0 +1,179 @@
+#include "coltsfootfork/adapters/http_engine_adapter.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+
+#include "adapters/adapter_fixture.h"
+#include "standin/announcer.h"
+#include "standin/engine_server.h"
+
+namespace coltsfootfork {
+namespace {
+
+const std::string kSixOfA = "a t0;a t1;a t2;a t3;a t4;a t5;";
+const std::string kSixOfB = "b t0;b t1;b t2;b t3;b t4;b t5;";
+
+// The adapter and a stand-in in one loop, connected by sockets.
+struct StandinFixture : AdapterFixture {
+  StandinFixture() {
+    options.listen = "127.0.0.1:0";
+    options.server = "e1";
+    options.services = {"m1"};
+    options.memory_tokens = 1000;
+    options.max_batch = 8;
+    options.token_interval = std::chrono::milliseconds(1);
+    options.agents = {adapter.listen_address()};
+  }
+
+  void Start() {
+    server = std::make_unique<standin::EngineServer>(io, options);
+    announcer = std::make_unique<standin::Announcer>(io, *server, options);
+    announcer->Announce();
+    RunUntil([&] { return !Got<EngineAnnounced>().empty(); });
+  }
+  std::uint64_t Count(const char* name) const {
+    standin::HttpRequest request;
+    request.target("/standin/v1/runs");
+    return server->Call(request).body.at(name);
+  }
+  void RunToEnd(const std::string& request) {
+    RunUntil([&] { return !End(request).empty(); });
+  }
+
+  standin::StandinOptions options;
+  std::unique_ptr<standin::EngineServer> server;
+  std::unique_ptr<standin::Announcer> announcer;
+};
+
+BOOST_FIXTURE_TEST_CASE(AStreamComesWholeAndInOrder, StandinFixture) {
+  Start();
+  Submit("r1", "a");
+  RunToEnd("r1");
+  BOOST_TEST(Tokens("r1") == kSixOfA);
+  const auto completed = Got<EngineCompleted>();
+  BOOST_TEST(completed.at(0).token_count == 6U);
+  BOOST_TEST(completed.at(0).finish_reason == "length");
+  BOOST_TEST(adapter.open_calls() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersThatCrossReachTheirOwnRequests, StandinFixture) {
+  options.late = std::chrono::milliseconds(50);
+  Start();
+  Submit("late", "a");
+  Submit("early", "b");
+  RunToEnd("late");
+  RunToEnd("early");
+  BOOST_TEST(Got<EngineCompleted>().at(0).request.value() == "early");
+  BOOST_TEST(Tokens("late") == kSixOfA);
+  BOOST_TEST(Tokens("early") == kSixOfB);
+}
+
+BOOST_FIXTURE_TEST_CASE(APreemptedStreamIsStillWhole, StandinFixture) {
+  options.memory_tokens = 10;
+  Start();
+  Submit("r1", "a");
+  Submit("r2", "b");
+  RunToEnd("r1");
+  RunToEnd("r2");
+  BOOST_TEST(Got<EnginePreempted>().size() == Count("preemptions"));
+  BOOST_TEST(Count("preemptions") > 0U);
+  BOOST_TEST(Tokens("r1") == kSixOfA);
+  BOOST_TEST(Tokens("r2") == kSixOfB);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentStreamGoesOnWhereItIsResumed, StandinFixture) {
+  options.silent_after = 3;
+  Start();
+  Submit("r1", "a");
+  RunUntil([&] { return Tokens("r1") == kSixOfA.substr(0, 15); });
+  Submit("r1", "a", 3);
+  RunUntil([&] { return Tokens("r1") == kSixOfA; });
+  BOOST_TEST(Count("total") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnknownStreamIsNotResumed, StandinFixture) {
+  Start();
+  Submit("unknown", "a", 3);
+  RunToEnd("unknown");
+  BOOST_TEST(End("unknown") == "refused");
+  BOOST_TEST(Count("total") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingComesAfterACancellation, StandinFixture) {
+  options.token_interval = std::chrono::milliseconds(20);
+  Start();
+  Submit("r1", "a");
+  RunUntil([&] { return !Tokens("r1").empty(); });
+  const std::string before = Tokens("r1");
+  adapter.Send(EngineCancel{RequestId("r1"), 1});
+  RunUntil([&] { return Count("cancels") == 1U && adapter.open_calls() == 0; });
+  Submit("r2", "b");
+  RunToEnd("r2");
+  BOOST_TEST(Tokens("r1") == before);
+  BOOST_TEST(End("r1") == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusedRequestDidNotRun, StandinFixture) {
+  options.refuse_every = 1;
+  Start();
+  Submit("r1", "a");
+  RunToEnd("r1");
+  BOOST_TEST(End("r1") == "refused");
+  BOOST_TEST(Count("total") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(APlainCallComesBackAsTheServiceAnswered,
+                        StandinFixture) {
+  Start();
+  Dispatch sale;
+  sale.request = RequestId("sale");
+  sale.kind = RequestKind::kPlainCall;
+  sale.method = "PUT";
+  sale.target = "/sales/1?x=2";
+  sale.content_type = "text/plain";
+  sale.body = "one scarf";
+  adapter.Send(EngineSubmit{sale});
+  RunToEnd("sale");
+  const auto answer = Got<EngineCompleted>().at(0);
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.content_type == "application/json");
+  BOOST_TEST(answer.body == R"({"echo":"one scarf","run":1,"service":"m1"})");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOldFenceIsReportedAsNotApplied, StandinFixture) {
+  options.checks_fence = true;
+  Start();
+  adapter.Send(EngineOrder{{2, 1}, "load", "m2", "v1"});
+  RunUntil([&] { return Got<EngineOrderResult>().size() == 1; });
+  adapter.Send(EngineOrder{{1, 9}, "unload", "m2", "v1"});
+  RunUntil([&] { return Got<EngineOrderResult>().size() == 2; });
+  const auto results = Got<EngineOrderResult>();
+  BOOST_TEST(results[0].applied);
+  BOOST_TEST(!results[1].applied);
+  BOOST_TEST((results[1].fence == Fence{1, 9}));
+  BOOST_TEST(results[1].problem == "old fence");
+}
+
+BOOST_FIXTURE_TEST_CASE(LoadAndCacheEventsComeThrough, StandinFixture) {
+  options.event_gap_every = 2;
+  Start();
+  Dispatch dispatch;
+  dispatch.target = "/v1/completions";
+  dispatch.body = R"({"max_tokens":1,"prompt":"a"})";
+  for (std::uint64_t block = 1; block <= 3; ++block) {
+    dispatch.request = RequestId("r" + std::to_string(block));
+    dispatch.prefix_blocks = {block, ~block};
+    adapter.Send(EngineSubmit{dispatch});
+    RunToEnd(dispatch.request.value());
+  }
+  RunUntil([&] { return Got<CacheHint>().size() == 2; });
+  const auto hints = Got<CacheHint>();
+  BOOST_TEST(hints[0].sequence + hints[1].sequence == 4U);
+  BOOST_TEST(hints[0].added_blocks.size() == 2U);
+  BOOST_TEST(!Got<EngineLoad>().empty());
+  BOOST_TEST(findings.empty());
+}
+
+}  // namespace
+}  // namespace coltsfootfork
