metrics: Add the registry with its catalogue and operators' pages

The slow week that no graph showed asks for time between tokens and stall time by rank and service, and for a counter of each reason that is there before its first occurrence. Durations go into Boost.Histogram with bounds at the stated targets; the axis is kept in whole microseconds, so that a bound counts as inside its bucket, as the Prometheus format wants it. A label for the workspace was ruled out: 1,700 of them by rank, service and bucket would be the largest state of an entry. Services are bounded at 64 labels; a test with 1,700 names holds it. The page of metrics is checked against the code both ways, and the page on slow streams may name only metrics that exist.

--- /dev/null
+++ b/tests/core/metrics/metrics_registry_test.cc
@@ -0,0 +1,106 @@
+#include "coltsfootfork/core/metrics/metrics_registry.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  BOOST_REQUIRE_MESSAGE(file, path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::size_t CountOf(const std::string& text, const std::string& word) {
+  std::size_t count = 0;
+  for (auto at = text.find(word); at != std::string::npos;
+       at = text.find(word, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+BOOST_AUTO_TEST_CASE(EveryReasonIsThereFromTheStart) {
+  const std::string text = MetricsRegistry().ToPrometheusText();
+  for (std::size_t i = 1; i < kReasonCount; ++i) {
+    const std::string name(ReasonName(static_cast<Reason>(i)));
+    for (const char* rank : {"urgent", "deferrable"}) {
+      BOOST_TEST(CountOf(text, "coltsfootfork_reasons_total{reason=\"" + name +
+                                   "\",rank=\"" + rank +
+                                   "\",service=\"\"} 0\n") == 1U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheTextIsAsExpected) {
+  MetricsRegistry metrics;
+  const ServiceId service("mirror \"a\"\\\n");
+  metrics.Count(Reason::kQueueFull, Rank::kUrgent, service);
+  metrics.Count(Reason::kQueueFull, Rank::kUrgent, service);
+  metrics.Count(Reason::kNone, Rank::kUrgent, service);
+  metrics.Add(Counter::kPreemptions, 3);
+  metrics.SetRevisionInForce(17);
+  metrics.ObserveFirstToken(Rank::kUrgent, service, milliseconds(1800));
+  metrics.ObserveFirstToken(Rank::kUrgent, service,
+                            milliseconds(1800) + microseconds(1));
+  metrics.ObserveTokenGap(Rank::kDeferrable, service, milliseconds(27));
+  metrics.ObserveTokenGap(Rank::kDeferrable, service, milliseconds(300));
+  metrics.ObserveQueueDelay(Rank::kUrgent, service, milliseconds(61000));
+  metrics.ObserveQueueDelay(Rank::kUrgent, service, milliseconds(-1));
+  BOOST_TEST(metrics.ToPrometheusText() ==
+             ReadFile(TEST_DATA_DIR "/expected_metrics.txt"));
+}
+
+BOOST_AUTO_TEST_CASE(LabelSetsStayBoundedAtTheSizeOfManyWorkspaces) {
+  MetricsRegistry metrics;
+  for (int i = 0; i < 1700; ++i) {
+    const ServiceId service("s" + std::to_string(i));
+    metrics.Count(Reason::kQueueFull, Rank::kUrgent, service);
+    metrics.ObserveTokenGap(Rank::kUrgent, service, milliseconds(1));
+  }
+  const std::string text = metrics.ToPrometheusText();
+  BOOST_TEST(CountOf(text, "_token_gap_seconds_count{") == 65U);
+  BOOST_TEST(CountOf(text, "{reason=\"queue_full\",rank=\"urgent\"") == 66U);
+  BOOST_TEST(CountOf(text, "service=\"other\"} 1636\n") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(TheOperatorsPageListsExactlyTheMetricsThereAre) {
+  std::set<std::string> in_code;
+  for (const MetricInfo& info : AllMetrics()) in_code.emplace(info.name);
+  const std::string page = ReadFile(DOCS_DIR "/operators/metrics.md");
+  const std::regex row("\\n\\| `(coltsfootfork_[a-z_]+)` \\|");
+  std::set<std::string> on_page;
+  for (std::sregex_iterator it(page.begin(), page.end(), row), end; it != end;
+       ++it) {
+    on_page.insert((*it)[1]);
+  }
+  BOOST_TEST(on_page == in_code, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ThePagesNameOnlyMetricsThatExist) {
+  std::set<std::string> in_code;
+  for (const MetricInfo& info : AllMetrics()) in_code.emplace(info.name);
+  const std::string page = ReadFile(DOCS_DIR "/operators/slow-streams.md");
+  const std::regex name("coltsfootfork_[a-z_]+");
+  int named = 0;
+  for (std::sregex_iterator it(page.begin(), page.end(), name), end; it != end;
+       ++it, ++named) {
+    std::string found = (*it)[0];
+    found = std::regex_replace(found, std::regex("_(bucket|sum|count)$"), "");
+    BOOST_TEST(in_code.count(found) == 1U, found);
+  }
+  BOOST_TEST(named > 5);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
