--- a/src/adapters/sink_body.h
+++ b/src/adapters/sink_body.h
@@ -13,16 +13,16 @@
 
 // A Beast body that hands its bytes on as they are parsed and keeps none.
 struct SinkBody {
-  struct value_type {
+  struct Value {
     // False ends the reading with http::error::body_limit.
     std::function<bool(std::string_view bytes)> sink;
   };
 
-  class reader {
+  class Reader {
    public:
     template <bool is_request, class Fields>
-    reader(boost::beast::http::header<is_request, Fields>& /*header*/,
-           value_type& body)
+    Reader(boost::beast::http::header<is_request, Fields>& /*header*/,
+           Value& body)
         : body_(body) {}
 
     void init(const boost::optional<std::uint64_t>& /*length*/,
@@ -49,8 +49,12 @@
     void finish(boost::system::error_code& error) { error = {}; }
 
    private:
-    value_type& body_;
+    Value& body_;
   };
+
+  // The names that Beast asks for.
+  using value_type = Value;
+  using reader = Reader;
 };
 
 }  // namespace coltsfootfork
