routing: Look rules up in ServingRules and tell silent agents from slow streams

The entry had its own lookup of ranks and non-idempotent rules, linear in the workspaces; ServingRules answers the same in constant time and matches paths more strictly, so the entry's copy goes.

An agent lets a preempted stream be silent for 30 s and watches its engine itself, so the entry's stall bound of 3 s would have ended streams that the agent was waiting for. The entry now asks two questions: is the agent silent (no report for 4 s on an open link), or is the stream silent for longer than any bound of its agent (35 s).

--- a/include/coltsfootfork/core/routing/entry_options.h
+++ b/include/coltsfootfork/core/routing/entry_options.h
@@ -50,10 +50,12 @@
   std::chrono::milliseconds claim_timeout{3000};
   // How long an answer is still awaited for a claim that timed out.
   std::chrono::milliseconds abandoned_claim_timeout{30000};
-  // How long an agent may be silent before its requests are moved.
+  // How long an agent may be silent on an open link before its requests are
+  // moved and its streams are resumed.
   std::chrono::milliseconds agent_silence{4000};
-  // How long a stream may be silent on an open link.
-  std::chrono::milliseconds stall{3000};
+  // How long a stream may be silent while its agent is not. The agent watches
+  // its engine itself, so this must be longer than its own bounds.
+  std::chrono::milliseconds stall{35000};
   // How long a plain call may take once it could have started.
   std::chrono::milliseconds plain_call_timeout{30000};
   // How long a broken stream waits for its agent and for the next token.
--- a/src/core/routing/agent_events.cc
+++ b/src/core/routing/agent_events.cc
@@ -136,7 +136,9 @@
     row->resumes = 0;
     state_->shares.OnToken(row->call.workspace, now_);
     Keep(row, frame.text);
-    state_->requests.SetDeadline(row, now_ + state_->options.retry.stall);
+    row->last_token = now_;
+    state_->requests.SetDeadline(row,
+                                 now_ + state_->options.retry.agent_silence);
     if (row->caller.gone) return;
     state_->effects.emplace_back(
         DeliverToken{frame.request, frame.index, frame.text});
--- a/src/core/routing/deadline_system.cc
+++ b/src/core/routing/deadline_system.cc
@@ -41,20 +41,33 @@
   return row.arrived + row.target.start_within + run;
 }
 
+// When the row's agent counts as silent.
+Time AgentSilentAt(const EntryState& state, const RequestRow& row) {
+  return state.servers.row(*row.server).reported_at +
+         state.options.retry.agent_silence;
+}
+
 void OnNothingHeard(EntryState* state, RequestRow* row, Time now) {
-  const RetryOptions& options = state->options.retry;
-  const Time first_sign_by = FirstSignBy(options, *row);
+  const Time first_sign_by = FirstSignBy(state->options.retry, *row);
+  const Time silent_at = AgentSilentAt(*state, *row);
   if (now >= first_sign_by) {
     OnLostBeforeFirstToken(state, row, Reason::kStreamStalled, now);
-    return;
-  }
-  const Time silent_at =
-      state->servers.row(*row->server).reported_at + options.agent_silence;
-  if (now >= silent_at) {
+  } else if (now >= silent_at) {
     OnLostBeforeFirstToken(state, row, Reason::kAgentLost, now);
+  } else {
+    state->requests.SetDeadline(row, std::min(first_sign_by, silent_at));
+  }
+}
+
+void OnStreamSilent(EntryState* state, RequestRow* row, Time now) {
+  const Time stalled_at = row->last_token + state->options.retry.stall;
+  const Time silent_at = AgentSilentAt(*state, *row);
+  if (now < stalled_at && now < silent_at) {
+    state->requests.SetDeadline(row, std::min(stalled_at, silent_at));
     return;
   }
-  state->requests.SetDeadline(row, std::min(first_sign_by, silent_at));
+  Count(state, *row, Reason::kStreamStalled);
+  AskResume(state, row, now);
 }
 
 void OnResumeOverdue(EntryState* state, RequestRow* row, Time now) {
@@ -82,8 +95,7 @@
       OnNothingHeard(state, row, now);
       return;
     case StreamState::kStreaming:
-      Count(state, *row, Reason::kStreamStalled);
-      AskResume(state, row, now);
+      OnStreamSilent(state, row, now);
       return;
     case StreamState::kResuming:
       OnResumeOverdue(state, row, now);
--- a/src/core/routing/entry_core.cc
+++ b/src/core/routing/entry_core.cc
@@ -45,7 +45,7 @@
     DispatchWaiting(state_, now_);
   }
   void operator()(const ConfigurationInForce& in_force) const {
-    state_->configuration = in_force.configuration;
+    state_->rules.emplace(in_force.configuration);
     state_->chooser.SetZones(ZoneMap(
         state_->options.zone, state_->options.choice, *in_force.configuration));
   }
--- a/src/core/routing/entry_state.h
+++ b/src/core/routing/entry_state.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "coltsfootfork/core/configuration/serving_rules.h"
 #include "coltsfootfork/core/messages/entry_io.h"
 #include "coltsfootfork/core/routing/entry_options.h"
 #include "core/routing/prefix_hints.h"
@@ -26,7 +27,8 @@
         shares(options.default_share) {}
 
   EntryOptions options;
-  std::shared_ptr<const Configuration> configuration;
+  // Empty until a configuration is in force.
+  std::optional<ServingRules> rules;
   ServerTable servers;
   PrefixHints hints;
   ServerChooser chooser;
--- a/src/core/routing/request_admission.cc
+++ b/src/core/routing/request_admission.cc
@@ -4,7 +4,6 @@
 
 #include "core/routing/request_dispatch.h"
 #include "core/routing/request_ending.h"
-#include "core/routing/request_rules.h"
 
 namespace coltsfootfork {
 namespace {
@@ -18,7 +17,7 @@
                  retry_after);
     return true;
   }
-  if (state->configuration == nullptr) {
+  if (!state->rules.has_value()) {
     RefuseAtOnce(state, call, Rank::kDeferrable, Reason::kNotConfigured,
                  retry_after);
     return true;
@@ -39,10 +38,31 @@
 
 // A key on a plain call says that its caller counts on one run, whatever the
 // rules say.
-bool RunsAtMostOnce(const CallerRequest& call, const RequestRules& rules) {
+bool RunsAtMostOnce(const CallerRequest& call, const ServingRules& rules) {
   const bool keyed = !call.idempotency_key.empty();
-  return rules.non_idempotent ||
-         (keyed && call.kind == RequestKind::kPlainCall);
+  return (keyed && call.kind == RequestKind::kPlainCall) ||
+         rules.IsNonIdempotent(call.service, call.method, call.target);
+}
+
+WorkspaceLimits LimitsOf(const WorkspaceId& workspace,
+                         const ServingRules& rules) {
+  const Workspace* found = rules.FindWorkspace(workspace);
+  return found == nullptr ? WorkspaceLimits() : found->limits;
+}
+
+// Whether the request is refused for what it is or who sends it.
+bool RefusedByRules(EntryState* state, const CallerRequest& call, Rank rank,
+                    Time now) {
+  if (state->rules->FindService(call.service) == nullptr) {
+    RefuseAtOnce(state, call, rank, Reason::kUnknownService, kNoRetry);
+    return true;
+  }
+  const LimitRefusal refusal =
+      state->shares.Admit({call.workspace, call.kind, call.prompt_tokens},
+                          LimitsOf(call.workspace, *state->rules), now);
+  if (refusal.reason == Reason::kNone) return false;
+  RefuseAtOnce(state, call, rank, refusal.reason, refusal.retry_after);
+  return true;
 }
 
 void OnGranted(EntryState* state, RequestRow* row, Time now) {
@@ -67,28 +87,18 @@
 
 void OnCallerRequest(EntryState* state, const CallerRequest& call, Time now) {
   if (RefusedByState(state, call)) return;
-  const RequestRules rules =
-      LookUpRules(*state->configuration,
-                  {call.workspace, call.service, call.method, call.target});
-  if (!rules.known_service) {
-    RefuseAtOnce(state, call, rules.rank, Reason::kUnknownService, kNoRetry);
-    return;
-  }
+  const ServingRules& rules = *state->rules;
+  const Rank rank = rules.RankOf(call.workspace, call.service);
   // Two requests of one name could not be answered apart.
   if (state->requests.Find(call.request) != nullptr) {
     state->effects.emplace_back(
-        CountReason{Reason::kBadRequest, rules.rank, call.service});
-    return;
-  }
-  const LimitRefusal refusal = state->shares.Admit(
-      {call.workspace, call.kind, call.prompt_tokens}, rules.limits, now);
-  if (refusal.reason != Reason::kNone) {
-    RefuseAtOnce(state, call, rules.rank, refusal.reason, refusal.retry_after);
+        CountReason{Reason::kBadRequest, rank, call.service});
     return;
   }
+  if (RefusedByRules(state, call, rank, now)) return;
   RequestRow* row = state->requests.Add(call, now);
-  row->rank = rules.rank;
-  row->target = rules.target;
+  row->rank = rank;
+  row->target = rules.TargetOf(rank);
   row->at_most_once = RunsAtMostOnce(call, rules);
   if (call.idempotency_key.empty()) {
     TryDispatch(state, row, now);
--- a/src/core/routing/request_table.h
+++ b/src/core/routing/request_table.h
@@ -53,6 +53,7 @@
   // Servers that have failed the request.
   std::vector<ServerIndex> avoid;
   std::uint32_t dispatches = 0;
+  Time last_token;
   // Resumes asked since the last delivered token.
   std::uint32_t resumes = 0;
   // Hand-overs without proof that they did not run.
