scheduling: Let the batch bound grow while most of it is used

Change: growth from four fifths of use, smaller decreases, and an earlier refusal where the estimated wait nears the deadline.

--- a/src/core/scheduling/batch_bound.cc
+++ b/src/core/scheduling/batch_bound.cc
@@ -16,7 +16,9 @@
 constexpr double kLateShare = 0.05;
 // Below this share of late gaps the bound may grow.
 constexpr double kGoodShare = 0.04;
-constexpr double kDecrease = 0.93;
+constexpr double kDecrease = 0.96;
+// The bound grows only while this much of it is in use.
+constexpr double kUsed = 0.8;
 constexpr double kSlowStartGrowth = 1.5;
 // How long after its last urgent request a server keeps to urgent gaps.
 constexpr std::chrono::seconds kUrgentMemory{30};
@@ -70,7 +72,7 @@
     slow_start_ = false;
     // The running requests go on: only a bound below them helps.
     limit_ = std::min<double>(limit_, running) * kDecrease;
-  } else if (late < kGoodShare && running + 1 >= limit_) {
+  } else if (late < kGoodShare && running >= kUsed * limit_) {
     limit_ = slow_start_ ? limit_ * kSlowStartGrowth : limit_ + 1;
   }
   limit_ = std::clamp(limit_, kSmallestLimit, most_);
--- a/src/core/scheduling/intake.cc
+++ b/src/core/scheduling/intake.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // The part of its time to start that a request may be estimated to wait.
-constexpr double kUsableWait = 0.9;
+constexpr double kUsableWait = 0.8;
 // The charge of a plain call, in tokens.
 constexpr double kPlainCallTokens = 1;
 constexpr std::chrono::hours kNoDeadline{24};
