--- a/bench/scheduling/policy_comparison.cc
+++ b/bench/scheduling/policy_comparison.cc
@@ -4,132 +4,32 @@
 #include <string>
 #include <vector>
 
-#include "scheduling/simulation.h"
+#include "scheduling/scenarios.h"
 
 namespace coltsfootfork {
 namespace {
 
-constexpr std::uint64_t kSeeds[] = {1, 2, 3};
-// Tokens a second that the engine model makes at the urgent gap.
-constexpr double kCapacity = 2500;
-constexpr std::chrono::seconds kEnd{360};
-constexpr std::chrono::seconds kFlood{60};
-
-struct Scenario {
-  std::string name;
-  EngineModel engine;
-  std::vector<Stream> streams;
-};
-
 struct NamedPolicy {
   std::string name;
   SchedulingPolicy policy;
 };
 
-Rules BenchRules() {
-  Rules rules;
-  rules.deferrable_floor = 0.1;
-  rules.targets[RankIndex(Rank::kUrgent)].token_gap =
-      std::chrono::milliseconds(27);
-  rules.targets[RankIndex(Rank::kDeferrable)].token_gap =
-      std::chrono::milliseconds(60);
-  return rules;
-}
-
-Stream Urgent(const std::string& workspace, double load,
-              std::chrono::seconds from) {
-  Stream stream;
-  stream.workspace = workspace;
-  stream.rank = Rank::kUrgent;
-  stream.tokens_per_second = load * kCapacity;
-  stream.prompt = {250, 0.6, 4096};
-  stream.output = {80, 0.9, 4096};
-  stream.start_within = std::chrono::milliseconds(1500);
-  stream.from = from;
-  stream.to = kEnd;
-  return stream;
-}
-
-Stream Deferrable(const std::string& workspace, double load,
-                  std::chrono::seconds from) {
-  Stream stream;
-  stream.workspace = workspace;
-  stream.rank = Rank::kDeferrable;
-  stream.tokens_per_second = load * kCapacity;
-  stream.prompt = {350, 0.6, 4096};
-  stream.output = {250, 1.2, 16384};
-  stream.start_within = std::chrono::milliseconds(30000);
-  stream.from = from;
-  stream.to = kEnd;
-  return stream;
-}
-
-// Two large and four small workspaces in each rank.
-std::vector<Stream> Fleet(double urgent, double deferrable,
-                          std::chrono::seconds from) {
-  std::vector<Stream> streams;
-  const double shares[] = {0.4, 0.4, 0.05, 0.05, 0.05, 0.05};
-  int number = 0;
-  for (const double share : shares) {
-    const std::string suffix = std::to_string(number++);
-    if (urgent > 0) {
-      streams.push_back(Urgent("talk" + suffix, share * urgent, from));
-    }
-    if (deferrable > 0) {
-      streams.push_back(Deferrable("lots" + suffix, share * deferrable, from));
-    }
-  }
-  return streams;
-}
-
-std::vector<Stream> Join(std::vector<Stream> a, const std::vector<Stream>& b) {
-  a.insert(a.end(), b.begin(), b.end());
-  return a;
-}
-
 std::vector<Scenario> Scenarios() {
-  const std::chrono::seconds start{0};
-  const std::vector<Stream> normal = Fleet(0.3, 0.3, start);
-  Scenario small_alone{"small caller alone", {}, Fleet(0.3, 0.3, start)};
-  small_alone.streams.push_back(Urgent("small", 0.01, start));
-  Scenario small_beside{
-      "small caller beside a large one at 10x", {}, small_alone.streams};
-  small_beside.streams.push_back(Urgent("large", 10, kFlood));
-  EngineModel roomy;
-  roomy.memory_tokens *= 3;
-  const std::vector<Stream> flood = Join(normal, Fleet(0, 10, kFlood));
-  return {
-      {"normal load, 0.6x", {}, normal},
-      {"full load, 1.1x", {}, Fleet(0.4, 0.7, start)},
-      {"flood of deferrable work, 10x", {}, flood},
-      {"flood of deferrable work, 10x, three times the memory", roomy, flood},
-      {"flood of urgent work, 10x",
-       {},
-       Join(Fleet(0.3, 1.0, start), Fleet(10, 0, kFlood))},
-      small_alone,
-      small_beside};
+  return {NormalLoad(),
+          FullLoad(),
+          DeferrableFlood(),
+          RoomyDeferrableFlood(),
+          RoomyFloodWithoutPromise(),
+          UrgentFlood(),
+          SmallAlone(),
+          SmallBesideLarge()};
 }
 
+// The baseline first, the agent's own last.
 std::vector<NamedPolicy> Policies() {
-  return {{"baseline", {FirstComeFirstServed{}, AdmitUntilFull{}}},
-          {"ranked, until full", {RankedFair{}, AdmitUntilFull{}}},
-          {"ours", {RankedFair{}, AdmitByPredictedPeak{}}}};
-}
-
-RunRecord RunSeeds(const Scenario& scenario, const SchedulingPolicy& policy) {
-  RunRecord all;
-  for (const std::uint64_t seed : kSeeds) {
-    SimulationSettings settings;
-    settings.engine = scenario.engine;
-    settings.policy = policy;
-    settings.rules = BenchRules();
-    settings.streams = scenario.streams;
-    settings.seed = seed;
-    settings.warm_up = kFlood;
-    settings.end = kEnd;
-    all.Merge(Simulate(settings));
-  }
-  return all;
+  return {{"first come, until full", BaselinePolicy()},
+          {"ranked, until full", RankedPolicy()},
+          {"ranked, predicted peak", AgentPolicy()}};
 }
 
 void PrintRank(const GroupRecord& group) {
@@ -190,15 +90,15 @@
     PrintHead();
     std::vector<RunRecord> records;
     for (const NamedPolicy& named : Policies()) {
-      records.push_back(RunSeeds(scenario, named.policy));
+      records.push_back(RunScenario(scenario, named.policy, {1, 2, 3}));
       PrintRow(named.name, records.back());
     }
     for (const RunRecord& record : records) PrintCallers(record);
     const RunRecord& baseline = records.front();
-    const RunRecord& ours = records.back();
-    std::printf("\nours to baseline: throughput %.3f, preemptions %llu:%llu\n",
-                ours.TokensPerSecond() / baseline.TokensPerSecond(),
-                static_cast<unsigned long long>(ours.preemptions),
+    const RunRecord& agent = records.back();
+    std::printf("\nlast to first: throughput %.3f, preemptions %llu:%llu\n",
+                agent.TokensPerSecond() / baseline.TokensPerSecond(),
+                static_cast<unsigned long long>(agent.preemptions),
                 static_cast<unsigned long long>(baseline.preemptions));
   }
 }
--- /dev/null
+++ b/tests/core/scheduling/request_queue_test.cc
@@ -0,0 +1,103 @@
+#include "core/scheduling/request_queue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::seconds;
+
+QueuedRequest Waiting(const std::string& id, const std::string& workspace,
+                      Rank rank = Rank::kUrgent, seconds start_by = seconds(9),
+                      const std::string& entry = "e1") {
+  QueuedRequest request;
+  request.entry = ProcessId(entry);
+  request.dispatch.request = RequestId(id);
+  request.dispatch.workspace = WorkspaceId(workspace);
+  request.dispatch.rank = rank;
+  request.start_by = Time(start_by);
+  request.expected_tokens = 100;
+  return request;
+}
+
+BOOST_AUTO_TEST_CASE(AFullQueueTakesRoomFromTheLongestLineOnly) {
+  RequestQueue queue(RankedFair{}, {3, 3});
+  for (const char* id : {"l1", "l2", "l3"}) {
+    BOOST_TEST(queue.Push(Waiting(id, "large"), 1, false).accepted);
+  }
+  BOOST_TEST(!queue.Push(Waiting("l4", "large"), 1, false).accepted);
+  const Enqueued small = queue.Push(Waiting("s1", "small"), 1, false);
+  BOOST_TEST(small.accepted);
+  BOOST_TEST((small.displaced->dispatch.request == RequestId("l3")));
+  BOOST_TEST(queue.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(TakesOutWhatIsOverdueAndWhatAnEntryLeftBehind) {
+  RequestQueue queue(RankedFair{}, {});
+  queue.Push(Waiting("soon", "w", Rank::kUrgent, seconds(2)), 1, false);
+  queue.Push(Waiting("late", "w", Rank::kDeferrable, seconds(5)), 1, false);
+  queue.Push(Waiting("other", "w", Rank::kUrgent, seconds(5), "e2"), 1, false);
+  const auto overdue = queue.RemoveOverdue(Time(seconds(2)));
+  BOOST_TEST(overdue.size() == 1U);
+  BOOST_TEST((overdue.at(0).dispatch.request == RequestId("soon")));
+  BOOST_TEST(queue.RemoveOfEntry(ProcessId("e2")).size() == 1U);
+  BOOST_TEST((*queue.EarliestDeadline() == Time(seconds(5))));
+  BOOST_TEST(queue.RemoveAll().size() == 1U);
+  BOOST_TEST(!queue.EarliestDeadline().has_value());
+}
+
+// Serves steps of a batch of 20 in which each request makes 50 tokens, and
+// returns the deferrable rank's share of the tokens.
+double DeferrableShare(double floor) {
+  RequestQueue queue(RankedFair{}, {100000, 100000});
+  queue.SetFloor(floor);
+  for (int i = 0; i < 20000; ++i) {
+    const std::string id = std::to_string(i);
+    queue.Push(Waiting("u" + id, "talk"), 1, false);
+    queue.Push(Waiting("d" + id, "lots", Rank::kDeferrable), 1, false);
+  }
+  BatchShare batch;
+  double made[kRankCount] = {0, 0};
+  for (int step = 0; step < 10000; ++step) {
+    const Turn turn = queue.Next(batch);
+    const Rank rank = queue.PopHead(turn.rank, 100).dispatch.rank;
+    if (batch.running < 20) ++batch.running;
+    if (rank == Rank::kDeferrable) ++batch.deferrable;
+    made[RankIndex(rank)] += 50;
+    queue.CountMade(rank, 50);
+    if (rank == Rank::kDeferrable) --batch.deferrable;
+  }
+  return made[RankIndex(Rank::kDeferrable)] / (10000 * 50.0);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheFloorExactlyWhileBothRanksWait) {
+  for (const double floor : {0.0, 0.07, 0.1, 0.5}) {
+    BOOST_TEST(std::abs(DeferrableShare(floor) - floor) < 0.001);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheFloorLeavesUrgentWorkFirstWhenNothingIsOwed) {
+  RequestQueue queue(RankedFair{}, {});
+  queue.SetFloor(0.1);
+  queue.Push(Waiting("d", "lots", Rank::kDeferrable), 1, false);
+  queue.Push(Waiting("u", "talk"), 1, false);
+  BOOST_TEST((queue.Next({0, 0}).rank == Rank::kUrgent));
+  // Ten places: one of them is the floor's.
+  BOOST_TEST((queue.Next({9, 0}).rank == Rank::kDeferrable));
+  BOOST_TEST(queue.Next({9, 0}).is_floor);
+  BOOST_TEST((queue.Next({9, 1}).rank == Rank::kUrgent));
+}
+
+BOOST_AUTO_TEST_CASE(TheBaselineServesInTheOrderOfArrival) {
+  RequestQueue queue(FirstComeFirstServed{}, {});
+  queue.Push(Waiting("d", "lots", Rank::kDeferrable), 1, false);
+  queue.Push(Waiting("u", "talk"), 1, false);
+  const Turn turn = queue.Next({0, 0});
+  const QueuedRequest first = queue.PopHead(turn.rank, 1);
+  BOOST_TEST((first.dispatch.request == RequestId("d")));
+}
+
+}  // namespace
+}  // namespace coltsfootfork
