--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -102,22 +102,25 @@
 
 void Fleet::Apply(const std::string& admin, const json& document,
                   int revision) {
-  HttpRequest request = OperatorRequest("PUT", "/admin/v1/configuration");
-  request.fields.push_back({"If-Match", std::to_string(revision)});
-  request.fields.push_back(
-      {"Change-Id", "change-after-" + std::to_string(revision)});
-  request.body = document.dump();
-  std::string last;
+  const std::string change_id = "change-after-" + std::to_string(revision);
   Await("the change is accepted", [&] {
-    const HttpResponse response = Fetch(admin, request);
-    last = response.body;
+    const HttpResponse response = Put(admin, document, revision, change_id);
     if (response.status == 422 || response.status == 412) {
-      throw std::runtime_error("change refused: " + last);
+      throw std::runtime_error("change refused: " + response.body);
     }
     return response.status == 200;
   });
 }
 
+HttpResponse Fleet::Put(const std::string& admin, const json& document,
+                        int revision, const std::string& change_id) {
+  HttpRequest request = OperatorRequest("PUT", "/admin/v1/configuration");
+  request.fields.push_back({"If-Match", std::to_string(revision)});
+  request.fields.push_back({"Change-Id", change_id});
+  request.body = document.dump();
+  return Fetch(admin, request);
+}
+
 json Fleet::Status(const std::string& admin) {
   const HttpResponse response =
       Fetch(admin, OperatorRequest("GET", "/admin/v1/status"));
@@ -147,6 +150,13 @@
   throw std::runtime_error("never came true: " + what);
 }
 
+std::string Fleet::UnusedAddress() {
+  boost::asio::io_context io;
+  const boost::asio::ip::tcp::acceptor acceptor(
+      io, ParseEndpoint(kAnyPort).value());
+  return FormatEndpoint(acceptor.local_endpoint());
+}
+
 HttpRequest CompletionRequest(const std::string& model, int max_tokens,
                               bool stream, const std::string& prompt) {
   HttpRequest request;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -38,6 +38,10 @@
   void Apply(const std::string& admin, const nlohmann::json& document,
              int revision = 0);
   nlohmann::json Status(const std::string& admin);
+  // Sends one change and returns the answer; status zero when none came.
+  static HttpResponse Put(const std::string& admin,
+                          const nlohmann::json& document, int revision,
+                          const std::string& change_id);
   // Whole answer of a request to any address. Status zero when none came.
   static HttpResponse Fetch(const std::string& address,
                             const HttpRequest& request);
@@ -45,6 +49,10 @@
   static void Await(const std::string& what,
                     const std::function<bool()>& condition);
 
+  // "127.0.0.1:PORT" with a port that the kernel has just given and taken back,
+  // for processes that must know each other's address before they start.
+  static std::string UnusedAddress();
+
   const std::string& folder() const { return folder_; }
 
  private:
