routing: Judge a server's wait by own sends and ends since its report

The first measurement showed that the cost policy knew of its servers' state only from reports, and filled a server that held a prefix until a report showed its queue. Reports of a server with a queue now teach how many requests it runs at once and how often one ends; with the own sends and ends since the report, scaled up for the other entries, this gives the expected wait. A guess only orders servers: overload is still judged by what the server itself reports.

--- a/bench/routing/queue_model.cc
+++ b/bench/routing/queue_model.cc
@@ -155,7 +155,7 @@
   const ServerIndex server = *choice.server;
   entry.servers.NoteSend(server, query.rank, choice.work, now_);
   entry.hints.Expect(server, blocks);
-  entry.servers.row(server).outstanding += 1;
+  entry.servers.OnHandedOver(server, query.rank);
   if (servers_[server].running < kBatch) {
     Start(server, job);
   } else {
@@ -181,7 +181,7 @@
 }
 
 void QueueModel::OnEnd(const Event& event) {
-  entries_[event.entry].servers.row(event.server).outstanding -= 1;
+  entries_[event.entry].servers.OnLeft(event.server, Rank::kUrgent);
   Server& server = servers_[event.server];
   --server.running;
   if (server.waiting.empty()) return;
--- a/src/core/routing/request_dispatch.cc
+++ b/src/core/routing/request_dispatch.cc
@@ -61,7 +61,7 @@
   row->server = server;
   ++row->dispatches;
   ++row->unproved_dispatches;
-  ++state->servers.row(server).outstanding;
+  state->servers.OnHandedOver(server, row->rank);
   state->servers.NoteSend(server, row->rank, choice.work, now);
   state->hints.Expect(server, row->call.prefix_blocks);
   SendToServer(state, server, MakeDispatch(*row, now));
--- a/src/core/routing/server_chooser.cc
+++ b/src/core/routing/server_chooser.cc
@@ -96,13 +96,6 @@
   return draw < std::max(share, kLeastRampShare);
 }
 
-microseconds ServerChooser::QueueDelay(const View& view,
-                                       ServerIndex server) const {
-  const ServerReport& report = *view.servers.row(server).report;
-  return view.query.rank == Rank::kUrgent ? report.urgent_delay
-                                          : report.deferrable_delay;
-}
-
 microseconds ServerChooser::Prefill(const View& view,
                                     ServerIndex server) const {
   const ServerReport& report = *view.servers.row(server).report;
@@ -121,14 +114,17 @@
 
 microseconds ServerChooser::Cost(const View& view, ServerIndex server) const {
   const ServerReport& report = *view.servers.row(server).report;
-  return QueueDelay(view, server) + Prefill(view, server) +
+  return view.servers.ExpectedDelay(server, view.query.rank) +
+         Prefill(view, server) +
          view.servers.UncoveredWork(server, view.query.rank) +
          options_.running_cost * report.running_requests +
          zones_.Distance(report.zone);
 }
 
 bool ServerChooser::Overloaded(const View& view, ServerIndex server) const {
-  return QueueDelay(view, server) > view.query.start_within;
+  // A guess must not refuse work, so only the server's own word counts.
+  return view.servers.ReportedDelay(server, view.query.rank) >
+         view.query.start_within;
 }
 
 Choice ServerChooser::Cheapest(const View& view,
@@ -152,7 +148,8 @@
   refusal.overloaded = true;
   microseconds shortest = microseconds::max();
   for (const ServerIndex server : candidates) {
-    shortest = std::min(shortest, QueueDelay(view, server));
+    shortest =
+        std::min(shortest, view.servers.ReportedDelay(server, view.query.rank));
   }
   refusal.excess = std::chrono::duration_cast<std::chrono::milliseconds>(
       shortest - view.query.start_within);
@@ -170,11 +167,10 @@
     const LeastOutstandingPolicy& /*policy*/, const View& view) {
   const Candidates usable = AllUsable(view);
   if (usable.empty()) return std::nullopt;
-  return *std::min_element(usable.begin(), usable.end(),
-                           [&](ServerIndex a, ServerIndex b) {
-                             return view.servers.row(a).outstanding <
-                                    view.servers.row(b).outstanding;
-                           });
+  return *std::min_element(
+      usable.begin(), usable.end(), [&](ServerIndex a, ServerIndex b) {
+        return view.servers.Outstanding(a) < view.servers.Outstanding(b);
+      });
 }
 
 std::optional<ServerIndex> ServerChooser::Pick(
--- a/src/core/routing/server_chooser.h
+++ b/src/core/routing/server_chooser.h
@@ -59,8 +59,6 @@
   void AddHolders(const View& view, Candidates* candidates) const;
   bool Usable(const View& view, ServerIndex server) const;
   bool PassesRamp(const View& view, ServerIndex server);
-  std::chrono::microseconds QueueDelay(const View& view,
-                                       ServerIndex server) const;
   std::chrono::microseconds Prefill(const View& view, ServerIndex server) const;
   std::chrono::microseconds Cost(const View& view, ServerIndex server) const;
   bool Overloaded(const View& view, ServerIndex server) const;
--- a/src/core/routing/server_table.cc
+++ b/src/core/routing/server_table.cc
@@ -1,12 +1,19 @@
 #include "core/routing/server_table.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace coltsfootfork {
 namespace {
 
 // More sends than this between two reports are not told apart any more.
 constexpr std::size_t kMaxRecentSends = 256;
+// How much of the newest report goes into what is known of a full server.
+constexpr double kNewestPart = 0.3;
+// The most entries whose sends are guessed from the own ones.
+constexpr double kMostEntries = 8.0;
+// Places of a nearly full server that others may have taken meanwhile.
+constexpr double kUnseenStarts = 1.5;
 
 bool Serves(const ServerRow& row) {
   return row.report.has_value() && row.report->serving && !row.report->draining;
@@ -53,9 +60,82 @@
          row.sends.front().at + options_.report_lag <= now) {
     row.sends.pop_front();
   }
+  if (fresh_start) row.when_full = FullServer();
+  CoverSends(&row);
+  LearnFullServer(&row);
   return fresh_start;
 }
 
+void ServerTable::CoverSends(ServerRow* row) {
+  row->covered = row->outstanding;
+  for (const RecentSend& send : row->sends) {
+    row->covered.at(RankIndex(send.rank)) -= 1;
+  }
+}
+
+void ServerTable::LearnFullServer(ServerRow* row) {
+  const ServerReport& report = *row->report;
+  if (report.queued_requests == 0 || report.deferrable_delay.count() <= 0) {
+    return;
+  }
+  const double waiting = report.queued_requests;
+  const std::chrono::duration<double, std::micro> between =
+      std::chrono::duration<double, std::micro>(report.deferrable_delay) /
+      (waiting + 1.0);
+  FullServer& known = row->when_full;
+  const double part = known.running > 0 ? kNewestPart : 1.0;
+  known.running += part * (report.running_requests - known.running);
+  known.between_starts += part * (between - known.between_starts);
+}
+
+std::chrono::microseconds ServerTable::ReportedDelay(ServerIndex index,
+                                                     Rank rank) const {
+  const ServerReport& report = *rows_[index].report;
+  return rank == Rank::kUrgent ? report.urgent_delay : report.deferrable_delay;
+}
+
+std::chrono::microseconds ServerTable::ExpectedDelay(ServerIndex index,
+                                                     Rank rank) const {
+  const ServerRow& row = rows_[index];
+  const ServerReport& report = *row.report;
+  const std::chrono::microseconds reported = ReportedDelay(index, rank);
+  if (row.when_full.running <= 0) return reported;
+  double waits = ChangeSinceReport(row, rank);
+  if (reported.count() <= 0) {
+    const double free = row.when_full.running - report.running_requests;
+    waits += 1.0 + kUnseenStarts - free;
+  }
+  const auto later = std::chrono::duration_cast<std::chrono::microseconds>(
+      waits * row.when_full.between_starts);
+  return std::max(std::chrono::microseconds(0), reported + later);
+}
+
+double ServerTable::ChangeSinceReport(const ServerRow& row, Rank rank) {
+  double change = 0;
+  double covered = 0;
+  for (std::size_t i = 0; i <= RankIndex(rank); ++i) {
+    change += row.outstanding.at(i) - row.covered.at(i);
+    covered += row.covered.at(i);
+  }
+  if (change <= 0) return change;
+  // The other entries are taken to have sent as much for their share.
+  const double all = row.report->running_requests + row.report->queued_requests;
+  return change * std::clamp(all / std::max(1.0, covered), 1.0, kMostEntries);
+}
+
+void ServerTable::OnHandedOver(ServerIndex index, Rank rank) {
+  rows_[index].outstanding.at(RankIndex(rank)) += 1;
+}
+
+void ServerTable::OnLeft(ServerIndex index, Rank rank) {
+  rows_[index].outstanding.at(RankIndex(rank)) -= 1;
+}
+
+std::int32_t ServerTable::Outstanding(ServerIndex index) const {
+  const RankCounts& counts = rows_[index].outstanding;
+  return std::accumulate(counts.begin(), counts.end(), std::int32_t{0});
+}
+
 void ServerTable::SetLink(ServerIndex index, bool up) {
   ServerRow& row = rows_[index];
   row.link_up = up;
@@ -81,7 +161,7 @@
   for (auto place = by_agent_.begin(); place != by_agent_.end();) {
     const ServerIndex index = place->second;
     const ServerRow& row = rows_[index];
-    if (row.listed || row.link_up || row.outstanding > 0) {
+    if (row.listed || row.link_up || Outstanding(index) > 0) {
       ++place;
       continue;
     }
--- a/src/core/routing/server_table.h
+++ b/src/core/routing/server_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -23,6 +24,17 @@
   std::chrono::microseconds work{0};
 };
 
+// A number for each rank.
+using RankCounts = std::array<std::int32_t, kRankCount>;
+
+// What reports of a server with a queue have shown of it. Zero until then.
+struct FullServer {
+  // Requests that run at once when others have to wait.
+  double running = 0;
+  // How often one of them ends and lets the next one start.
+  std::chrono::duration<double, std::micro> between_starts{0};
+};
+
 // One agent and what it last told of its backend server.
 struct ServerRow {
   ProcessId agent;
@@ -37,8 +49,11 @@
   // When the server was first heard to serve after it had not.
   Time serving_since;
   std::deque<RecentSend> sends;
-  // Requests that this entry has handed over and that have not ended.
-  std::uint32_t outstanding = 0;
+  // Requests of each rank that this entry has handed over and that have not
+  // ended, now and as far as the last report can cover them.
+  RankCounts outstanding{};
+  RankCounts covered{};
+  FullServer when_full;
 };
 
 // The backend servers that this entry knows, one row an agent.
@@ -70,6 +85,18 @@
   // The rows whose servers offer the service, eligible or not, in order.
   const std::vector<ServerIndex>& Offering(const ServiceId& service) const;
 
+  // How long a request of the rank waits for its start, as last reported.
+  std::chrono::microseconds ReportedDelay(ServerIndex index, Rank rank) const;
+
+  // How long a request of the rank waits for its start, by the last report
+  // and by what this entry has sent and seen end since.
+  std::chrono::microseconds ExpectedDelay(ServerIndex index, Rank rank) const;
+
+  // Books the hand-over of a request and its end.
+  void OnHandedOver(ServerIndex index, Rank rank);
+  void OnLeft(ServerIndex index, Rank rank);
+  std::int32_t Outstanding(ServerIndex index) const;
+
   // From 0 to 1: how much of its full share a server may get.
   double RampShare(ServerIndex index, Time now) const;
 
@@ -78,6 +105,9 @@
   std::chrono::microseconds UncoveredWork(ServerIndex index, Rank rank) const;
 
  private:
+  static double ChangeSinceReport(const ServerRow& row, Rank rank);
+  static void LearnFullServer(ServerRow* row);
+  static void CoverSends(ServerRow* row);
   void Reindex(ServerIndex index, const std::vector<ServiceId>& before,
                const std::vector<ServiceId>& after);
 
--- a/tests/core/routing/server_chooser_test.cc
+++ b/tests/core/routing/server_chooser_test.cc
@@ -178,6 +178,43 @@
   BOOST_TEST(*fixture.Choose() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(FullServerIsKnownBeforeItsNextReport) {
+  Fixture fixture;
+  ServerReport full = Fixture::Usual();
+  full.running_requests = 8;
+  full.queued_requests = 1;
+  full.deferrable_delay = milliseconds(200);
+  fixture.Report(0, full);
+  const auto delay = [&] {
+    return fixture.servers.ExpectedDelay(0, Rank::kDeferrable).count();
+  };
+  BOOST_TEST(delay() == 200000);
+  for (int i = 0; i < 9; ++i) {
+    fixture.servers.OnHandedOver(0, Rank::kDeferrable);
+  }
+  fixture.Report(0, full);
+  // One more waits for one more end, here one each 100 ms; an end takes it
+  // back.
+  fixture.servers.OnHandedOver(0, Rank::kDeferrable);
+  BOOST_TEST(delay() == 300000);
+  fixture.servers.OnLeft(0, Rank::kDeferrable);
+  fixture.servers.OnLeft(0, Rank::kDeferrable);
+  BOOST_TEST(delay() == 100000);
+  // Nearly full counts as full, well below it as free.
+  ServerReport report = Fixture::Usual();
+  report.running_requests = 7;
+  fixture.Report(0, report);
+  BOOST_TEST(delay() == 150000);
+  report.running_requests = 5;
+  fixture.Report(0, report);
+  BOOST_TEST(delay() == 0);
+  // A new start of the server may have another size.
+  report.incarnation = 2;
+  report.running_requests = 7;
+  fixture.Report(0, report);
+  BOOST_TEST(delay() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(RecoveredServerIsRampedUp) {
   Fixture fixture;
   for (int i = 1; i < 3; ++i) fixture.ReportDelay(i, milliseconds(5));
@@ -207,9 +244,9 @@
   Fixture turns{RoundRobinPolicy{}};
   for (ServerIndex i = 0; i < 6; ++i) BOOST_TEST(*turns.Choose() == i % 3);
   Fixture least{LeastOutstandingPolicy{}};
-  least.servers.row(0).outstanding = 2;
-  least.servers.row(1).outstanding = 1;
-  least.servers.row(2).outstanding = 3;
+  for (const ServerIndex server : {0U, 2U, 0U, 2U, 1U}) {
+    least.servers.OnHandedOver(server, Rank::kUrgent);
+  }
   BOOST_TEST(*least.Choose() == 1U);
 }
 
