--- a/src/core/scheduling/starter.cc
+++ b/src/core/scheduling/starter.cc
@@ -1,15 +1,16 @@
 #include "core/scheduling/starter.h"
 
+#include <cmath>
 #include <utility>
 
 namespace coltsfootfork {
 namespace {
 
-RunningRequest ToRunning(const AgentState& state, const StartedRequest& started,
+RunningRequest ToRunning(const AgentState& state, const QueuedRequest& started,
                          Time now) {
-  const Dispatch& dispatch = started.request.dispatch;
+  const Dispatch& dispatch = started.dispatch;
   RunningRequest running;
-  running.entry = started.request.entry;
+  running.entry = started.entry;
   running.request = dispatch.request;
   running.generation = dispatch.generation;
   running.workspace = dispatch.workspace;
@@ -23,17 +24,59 @@
   running.next_index = dispatch.first_index;
   running.started = now;
   running.last_progress = now;
-  running.charged_tokens = started.request.expected_tokens;
-  running.in_contention = started.in_contention;
+  running.charged_tokens = started.expected_tokens;
   state.admission.Refresh(running, state.lengths);
   return running;
 }
 
+// Urgent work that waited while deferrable work ran beyond its floor calls
+// for more headroom.
+void NoteWait(AgentState& state, const QueuedRequest& started, Time now) {
+  if (started.dispatch.rank != Rank::kUrgent) return;
+  const double floor = state.queue.floor() * (state.running.size() + 1);
+  if (state.running.size(Rank::kDeferrable) <= std::ceil(floor)) return;
+  state.admission.headroom().CountWait(now - started.arrived);
+}
+
+// Whether the workspace runs less than half of what the workspaces with running
+// work have on average.
+bool RunsLittle(const RunningTable& running, const WorkspaceId& workspace) {
+  const std::uint64_t own = running.size(workspace);
+  return own == 0 || 2 * own * running.workspaces() < running.size();
+}
+
+// How the head of the line is held to the bounds.
+Privilege PrivilegeOf(const AgentState& state, const Turn& turn,
+                      const Dispatch& head) {
+  if (turn.rank != Rank::kUrgent) {
+    return turn.is_floor ? Privilege::kFull : Privilege::kNone;
+  }
+  return RunsLittle(state.running, head.workspace) ? Privilege::kSmallCaller
+                                                   : Privilege::kFull;
+}
+
 void StartHead(AgentState& state, Rank rank, Time now, Effects& effects) {
   const double tokens = state.queue.Head(rank).expected_tokens;
-  StartedRequest started = state.queue.PopHead(rank, tokens);
+  QueuedRequest started = state.queue.PopHead(rank, tokens);
+  NoteWait(state, started, now);
   state.running.Add(ToRunning(state, started, now));
-  effects.ToEngine(EngineSubmit{std::move(started.request.dispatch)});
+  effects.ToEngine(EngineSubmit{std::move(started.dispatch)});
+}
+
+// Starts the urgent head out of turn, while the floor's turn waits for room,
+// if it is a small caller's: the part kept for those is of no use to the
+// floor. Returns whether it did.
+bool StartSmallCaller(AgentState& state, Time now, Effects& effects) {
+  const Turn turn{Rank::kUrgent, false};
+  const Dispatch& head = state.queue.Head(turn.rank).dispatch;
+  const Privilege privilege = PrivilegeOf(state, turn, head);
+  if (privilege != Privilege::kSmallCaller) return false;
+  if (!state.admission.MayStart(head, privilege, state.running,
+                                state.lengths)) {
+    return false;
+  }
+  StartHead(state, turn.rank, now, effects);
+  return true;
 }
 
 }  // namespace
@@ -41,14 +84,16 @@
 void StartWhatFits(AgentState& state, Time now, Effects& effects) {
   if (!state.Serving()) return;
   while (!state.queue.empty()) {
-    const Rank rank = state.queue.NextRank();
-    const QueuedRequest& head = state.queue.Head(rank);
-    const bool is_floor = state.queue.NextIsFloor();
-    if (!state.admission.MayStart(head, is_floor, state.running,
-                                  state.lengths)) {
+    const Turn turn = state.queue.Next(
+        {state.running.size(), state.running.size(Rank::kDeferrable)});
+    const Dispatch& head = state.queue.Head(turn.rank).dispatch;
+    const Privilege privilege = PrivilegeOf(state, turn, head);
+    if (state.admission.MayStart(head, privilege, state.running,
+                                 state.lengths)) {
+      StartHead(state, turn.rank, now, effects);
+    } else if (!turn.is_floor || !StartSmallCaller(state, now, effects)) {
       return;
     }
-    StartHead(state, rank, now, effects);
   }
 }
 
