--- a/tests/core/replication/cluster.cc
+++ b/tests/core/replication/cluster.cc
@@ -73,7 +73,13 @@
   if (outgoing) cut_outgoing_.insert(number);
 }
 
+void Cluster::CutLink(std::size_t a, std::size_t b) {
+  cut_links_.insert({a, b});
+  cut_links_.insert({b, a});
+}
+
 void Cluster::HealNetwork() {
+  cut_links_.clear();
   cut_incoming_.clear();
   cut_outgoing_.clear();
   faults_ = {};
@@ -162,6 +168,7 @@
   if (target == nodes_.size()) return;
   if (cut_outgoing_.count(number) != 0) return;
   if (cut_incoming_.count(target) != 0) return;
+  if (cut_links_.count({number, target}) != 0) return;
   if (Random(kPermille) < faults_.lost) return;
   const Event event{
       EventKind::kDeliver, target, 0, {nodes_[number].process, message}};
@@ -172,7 +179,9 @@
 void Cluster::On(std::size_t number, const Persist& persist) {
   Node& node = nodes_[number];
   node.disk.Write(persist);
-  Schedule(sync_delay_, {EventKind::kSync, number, node.life, {}});
+  const auto longest = static_cast<std::uint64_t>(sync_delay_.count());
+  const auto delay = static_cast<Duration::rep>(Random(longest) + 1);
+  Schedule(Duration(delay), {EventKind::kSync, number, node.life, {}});
 }
 
 void Cluster::On(std::size_t number, const ApplyCommand& apply) {
--- a/tests/core/replication/cluster.h
+++ b/tests/core/replication/cluster.h
@@ -59,6 +59,8 @@
   void Freeze(std::size_t node, Duration duration);
   // Cuts the node off from all others, in the given directions.
   void Cut(std::size_t node, bool incoming, bool outgoing);
+  // Cuts only the link between the two, in both directions.
+  void CutLink(std::size_t a, std::size_t b);
   void HealNetwork();
 
   ProposalId ProposeAt(std::size_t node, const std::string& command);
@@ -75,6 +77,7 @@
   Time now() const { return now_; }
   std::uint64_t Random(std::uint64_t bound) { return random_() % bound; }
   NetworkFaults& faults() { return faults_; }
+  // The longest time that a sync takes.
   Duration& sync_delay() { return sync_delay_; }
   ClusterChecks& checks() { return checks_; }
   std::size_t elections() const { return elections_; }
@@ -120,6 +123,7 @@
   Duration sync_delay_ = std::chrono::milliseconds(2);
   std::set<std::size_t> cut_incoming_;
   std::set<std::size_t> cut_outgoing_;
+  std::set<std::pair<std::size_t, std::size_t>> cut_links_;
   std::multimap<Time, Event> events_;
   std::map<ProposalId, ProposalOutcome> outcomes_;
   std::map<ProposalId, Proposed> commands_;
--- a/tests/core/replication/fault_schedule.cc
+++ b/tests/core/replication/fault_schedule.cc
@@ -98,7 +98,7 @@
 
   void Break() {
     const std::size_t node = cluster_.Random(cluster_.size());
-    switch (cluster_.Random(15)) {
+    switch (cluster_.Random(18)) {
       case 0:
       case 1:
         StopOrStart(node);
@@ -131,6 +131,13 @@
       case 10:
         StopAllOrDiskFailure(node);
         return;
+      case 11:
+      case 12:
+        cluster_.CutLink(Leader(), node);
+        return;
+      case 13:
+        RestartOftenBetween(Leader(), node);
+        return;
       default:
         cluster_.HealNetwork();
         return;
@@ -152,6 +159,21 @@
     if (cluster_.Random(2) == 0) cluster_.Start(node);
   }
 
+  // A voter that the leader does not reach campaigns, while the others forget
+  // again and again what they have told the leader.
+  void RestartOftenBetween(std::size_t leader, std::size_t other) {
+    cluster_.CutLink(leader, other);
+    for (int i = 0; i < 20; ++i) {
+      for (std::size_t node = 0; node < cluster_.size(); ++node) {
+        if (node == leader || node == other) continue;
+        if (!cluster_.node(node).replica || cluster_.Random(2) == 0) continue;
+        cluster_.Crash(node);
+        cluster_.Start(node);
+      }
+      cluster_.RunFor(milliseconds(100 + cluster_.Random(200)));
+    }
+  }
+
   void StopAllOrDiskFailure(std::size_t node) {
     if (cluster_.Random(2) == 0) {
       cluster_.FailDisk(node);
--- a/tests/core/replication/replica_test.cc
+++ b/tests/core/replication/replica_test.cc
@@ -62,6 +62,67 @@
   BOOST_TEST(cluster.checks().problems().empty());
 }
 
+// Drives replica "b" of the voters a, b and c to lead term 3, with an entry of
+// term 2 in its log and its first entry of term 3 not synced yet.
+class NewLeader {
+ public:
+  NewLeader() : replica_(Options(), Past(), 1, now_) {
+    now_ += seconds(4);
+    replica_.Tick(now_);
+    FromA(VoteReply{true, 3, true});
+    Handle(PersistDone{1});
+    FromA(VoteReply{false, 3, true});
+  }
+
+  void Handle(const ReplicaInput& input) { replica_.Handle(input, now_); }
+  void FromA(const ReplicaMessageBody& body) {
+    Handle(ReplicaMessageReceived{ProcessId("a"), {1, 2, 9, body}});
+  }
+  const Replica& replica() const { return replica_; }
+
+ private:
+  static ReplicaOptions Options() {
+    ReplicaOptions options;
+    options.self = ProcessId("b");
+    return options;
+  }
+  static RecoveredState Past() {
+    RecoveredState past;
+    past.incarnation = 2;
+    past.hard_state = {9, 2, std::nullopt};
+    Membership membership;
+    Incarnation incarnation = 1;
+    for (const char* name : {"a", "b", "c"}) {
+      membership.members.push_back(
+          {{ProcessId(name), incarnation++}, ZoneId("x"), MemberRole::kVoter});
+    }
+    past.entries.push_back({1, 1, EntryKind::kMembership, {}, membership});
+    past.entries.push_back({2, 2, EntryKind::kCommand, "0 7", {}});
+    return past;
+  }
+
+  Time now_ = Time(seconds(100));
+  Replica replica_;
+};
+
+BOOST_AUTO_TEST_CASE(AnEarlierTermsEntryDoesNotCommitByCounting) {
+  NewLeader leader;
+  BOOST_REQUIRE((leader.replica().role() == ReplicaRole::kLeader));
+  leader.Handle(PersistDone{2});
+  leader.FromA(AppendReply{3, true, 2, 0, 0});
+  BOOST_TEST(leader.replica().commit_index() == 0U);
+  leader.FromA(AppendReply{3, true, 3, 0, 0});
+  BOOST_TEST(leader.replica().commit_index() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(TheLeadersOwnEntryCountsOnlyOnceSynced) {
+  NewLeader leader;
+  leader.FromA(AppendReply{3, true, 3, 0, 0});
+  BOOST_TEST(leader.replica().commit_index() == 0U);
+  leader.Handle(PersistDone{2});
+  BOOST_TEST(leader.replica().commit_index() == 3U);
+}
+
 // Found by a fault schedule: an answer to a request of an earlier term counted
 // as an answer to the same leader's present term, and renewed its lease.
 BOOST_AUTO_TEST_CASE(AnAnswerToAnEarlierTermRenewsNothing) {
