--- a/src/shell/process/settings_keys.cc
+++ b/src/shell/process/settings_keys.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 const std::vector<ConfigurationKey>& SettingsKeys() {
-  static const std::vector<ConfigurationKey> kKeys = {
+  static const std::vector<ConfigurationKey> keys = {
       Object("", true),
       Name("/process"),
       Name("/availability_zone"),
@@ -53,7 +53,7 @@
       {"/log/level", ValueKind::kChoice, false, 0, 0, "info",
        "error|warning|info|debug"},
   };
-  return kKeys;
+  return keys;
 }
 
 }  // namespace coltsfootfork
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -60,7 +60,7 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
-json Fleet::Start(const std::string& name, json settings) {
+json Fleet::Start(const std::string& name, const json& settings) {
   json whole = {
       {"process", name},
       {"availability_zone", "local"},
