replay: Add the trace recorder, the replay and its checks

Proof by recorded traces needs the decisions of an entry to run again outside of any process. The recorder writes every input and effect of the entry's core as JSON lines, the replay runs the core over the inputs, holds what it does against what was recorded, and checks both what must hold of every entry and what the outcomes state. Bodies and token texts go in as length and digest, which keeps equal texts equal; the joined answer of a claim cannot be made again from digests and is left out of the comparison. An end line tells a whole trace from a cut one. A token that stands twice is found at its line in every shipped trace, a cut at every byte, and each violated rule by a test of its own.

--- /dev/null
+++ b/src/core/replay/body_digest.cc
@@ -0,0 +1,58 @@
+#include "core/replay/body_digest.h"
+
+#include <string>
+
+#include "coltsfootfork/core/configuration/sha256.h"
+#include "coltsfootfork/core/stream/stored_generation.h"
+
+namespace coltsfootfork {
+namespace {
+
+// Enough that two texts of one trace do not meet by chance.
+constexpr std::size_t kDigestDigits = 32;
+
+void Digest(std::string* text) {
+  if (text->empty()) return;
+  *text = "length " + std::to_string(text->size()) + " sha256 " +
+          Sha256Hex(*text).substr(0, kDigestDigits);
+}
+
+struct DigestVisitor {
+  void operator()(CallerRequest& call) const { Digest(&call.body); }
+  void operator()(ClaimAnswered& answered) const {
+    StoredAnswer& answer = answered.reply.answer;
+    auto generation = UnpackGeneration(answer);
+    if (!generation) return Digest(&answer.body);
+    Digest(&generation->text);
+    answer = PackGeneration(*generation);
+  }
+  void operator()(AgentMessage& message) const {
+    std::visit(*this, message.message);
+  }
+  void operator()(TokenFrame& frame) const { Digest(&frame.text); }
+  void operator()(RequestCompleted& completed) const {
+    Digest(&completed.body);
+  }
+  void operator()(SendToAgent& send) const { std::visit(*this, send.message); }
+  void operator()(Dispatch& dispatch) const { Digest(&dispatch.body); }
+  void operator()(DeliverToken& token) const { Digest(&token.text); }
+  void operator()(DeliverAnswer& answer) const { Digest(&answer.answer.body); }
+  template <typename Other>
+  void operator()(Other& /*other*/) const {}
+};
+
+}  // namespace
+
+void DigestBodies(EntryInput* input) { std::visit(DigestVisitor{}, *input); }
+
+void DigestBodies(EntryEffect* effect) {
+  std::visit(DigestVisitor{}, *effect);
+  DropJoinedBody(effect);
+}
+
+void DropJoinedBody(EntryEffect* effect) {
+  auto* settle = std::get_if<SettleClaim>(effect);
+  if (settle != nullptr) settle->claim.answer.body.clear();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/replay/trace_reader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <istream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "coltsfootfork/core/messages/entry_io.h"
+#include "coltsfootfork/core/replay/trace_recorder.h"
+#include "coltsfootfork/core/types/finding.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+inline constexpr std::uint64_t kTraceVersion = 1;
+
+struct TraceTick {};
+
+// One line of a trace after the header.
+struct TraceLine {
+  std::uint64_t number = 0;
+  Time at;
+  std::variant<EntryInput, EntryEffect, TraceTick> content;
+};
+
+// The place of a finding: "line N".
+std::string LinePlace(std::uint64_t number);
+
+// Reads a trace line by line. A fault is added to the findings and ends the
+// reading.
+class TraceReader {
+ public:
+  TraceReader(std::istream& in, Findings* findings)
+      : in_(in), findings_(findings) {}
+
+  // To be read first.
+  std::optional<TraceHeader> ReadHeader();
+  // Nothing at the end of a whole trace and after a fault.
+  std::optional<TraceLine> ReadLine();
+
+ private:
+  std::optional<nlohmann::json> NextJson();
+  std::optional<TraceLine> Decode(const nlohmann::json& line);
+  void CheckEnd(const nlohmann::json& line);
+  void Fail(const std::string& problem);
+
+  std::istream& in_;
+  Findings* findings_;
+  std::uint64_t number_ = 0;
+  Time last_at_ = Time::min();
+};
+
+}  // namespace coltsfootfork
