--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -5,6 +5,7 @@
 
 #include "cli/commands.h"
 #include "cli/help_pages.h"
+#include "shell/log/event.h"
 
 namespace coltsfootfork {
 namespace {
@@ -17,10 +18,9 @@
 };
 
 constexpr NamedCommand kCommands[] = {
-    {"run", ExecuteRun},         {"check", ExecuteCheck},
-    {"apply", ExecuteApply},     {"diff", ExecuteDiff},
-    {"status", ExecuteStatus},  
-    {"version", ExecuteVersion},
+    {"run", ExecuteRun},       {"check", ExecuteCheck},
+    {"apply", ExecuteApply},   {"diff", ExecuteDiff},
+    {"status", ExecuteStatus}, {"version", ExecuteVersion},
 };
 
 ExitCode Main(const std::vector<std::string>& words) {
@@ -39,6 +39,7 @@
 }  // namespace coltsfootfork
 
 int main(int argc, char** argv) {
+  coltsfootfork::EndLogThreads();
   try {
     const std::vector<std::string> words(argv + 1, argv + argc);
     return static_cast<int>(coltsfootfork::Main(words));
