cli: Add replay, which checks a trace against stated outcomes

The proof by traces needs a front end whose exit code tells. The command prints what became of each request and every finding with its line; a shipped trace with one token doubled exits with 1 and names line 11, shown by a test that runs the program.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -13,6 +13,7 @@
 ExitCode ExecuteCheck(const std::vector<std::string>& words);
 ExitCode ExecuteApply(const std::vector<std::string>& words);
 ExitCode ExecuteDiff(const std::vector<std::string>& words);
+ExitCode ExecuteReplay(const std::vector<std::string>& words);
 ExitCode ExecuteStatus(const std::vector<std::string>& words);
 ExitCode ExecuteVersion(const std::vector<std::string>& words);
 
--- a/src/cli/help_pages.cc
+++ b/src/cli/help_pages.cc
@@ -14,6 +14,7 @@
   check    Checks a settings or configuration file.
   apply    Replaces the configuration in force.
   diff     Shows what a configuration file would change.
+  replay   Checks a recorded trace against stated outcomes.
   status   Shows every process and what it has in force.
   version  Prints the version.
 
@@ -89,6 +90,20 @@
 The exit code is 0 when nothing differs and 1 when something does.
 )";
 
+const char kReplayHelp[] =
+    R"(Runs the decision core over a recorded trace and checks what must hold.
+
+Usage:
+  coltsfootfork replay <trace> [--expect <file>]
+  coltsfootfork replay --help
+
+Options:
+  --expect <file>  Stated outcomes, in JSON; docs/design/replay.md lists them.
+
+Every finding is printed with its line of the trace or with its JSON pointer
+into the outcomes. The exit code is 0 when there is none and 1 otherwise.
+)";
+
 const char kStatusHelp[] =
     R"(Shows every process: roles, zone, revision in force, lease and server.
 
--- a/src/cli/help_pages.h
+++ b/src/cli/help_pages.h
@@ -8,6 +8,7 @@
 extern const char kCheckHelp[];
 extern const char kApplyHelp[];
 extern const char kDiffHelp[];
+extern const char kReplayHelp[];
 extern const char kStatusHelp[];
 extern const char kVersionHelp[];
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -18,9 +18,10 @@
 };
 
 constexpr NamedCommand kCommands[] = {
-    {"run", ExecuteRun},       {"check", ExecuteCheck},
-    {"apply", ExecuteApply},   {"diff", ExecuteDiff},
-    {"status", ExecuteStatus}, {"version", ExecuteVersion},
+    {"run", ExecuteRun},         {"check", ExecuteCheck},
+    {"apply", ExecuteApply},     {"diff", ExecuteDiff},
+    {"replay", ExecuteReplay},   {"status", ExecuteStatus},
+    {"version", ExecuteVersion},
 };
 
 ExitCode Main(const std::vector<std::string>& words) {
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -55,13 +55,29 @@
 
 BOOST_AUTO_TEST_CASE(EachCommandHasAHelpPage) {
   for (const std::string command :
-       {"run", "check", "apply", "diff", "status", "version"}) {
+       {"run", "check", "apply", "diff", "replay", "status", "version"}) {
     const Output output = RunProgram({command, "--help"});
     BOOST_TEST(output.exit_code == 0, command);
     BOOST_TEST(!output.text.empty(), command);
   }
 }
 
+BOOST_AUTO_TEST_CASE(AShippedTraceReplaysAndADoubledTokenIsNamed) {
+  const std::string traces = TRACES_DIR "/duplicate_token_frame";
+  const std::string expect = traces + ".outcomes.json";
+  const Output whole =
+      RunProgram({"replay", traces + ".jsonl", "--expect", expect});
+  BOOST_TEST(whole.exit_code == 0);
+  BOOST_TEST(whole.text == Expected("replay.txt"));
+  const Output doubled =
+      RunProgram({"replay", Input("doubled_token.jsonl"), "--expect", expect});
+  BOOST_TEST(doubled.exit_code == 1);
+  BOOST_TEST(doubled.text.find("line 11: request r1 gets token 0 twice") !=
+             std::string::npos);
+  BOOST_TEST(RunProgram({"replay", expect}).exit_code == 1);
+  BOOST_TEST(RunProgram({"replay", "no-such-file"}).exit_code == 1);
+}
+
 BOOST_AUTO_TEST_CASE(WordsThatDoNotFitAreUsageErrors) {
   BOOST_TEST(RunProgram({}).exit_code == 2);
   BOOST_TEST(RunProgram({"no-such-command"}).exit_code == 2);
