--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -1,6 +1,7 @@
 #include "shell/log/event.h"
 
 #include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -40,7 +41,7 @@
 }  // namespace
 
 const std::vector<EventInfo>& AllEvents() {
-  static const std::vector<EventInfo> kEvents = {
+  static const std::vector<EventInfo> events = {
       {Event::kStarted, "started"},
       {Event::kListening, "listening"},
       {Event::kStopping, "stopping"},
@@ -67,7 +68,7 @@
       {Event::kSnapshotTaken, "snapshot_taken"},
       {Event::kReplicaChanged, "replica_changed"},
   };
-  return kEvents;
+  return events;
 }
 
 std::string_view EventName(Event event) {
@@ -77,8 +78,9 @@
   return "unknown";
 }
 
+void EndLogThreads() { log4cplus::deinitialize(); }
+
 void StartLog(LogLevel lowest) {
-  log4cplus::initialize();
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
                                      /*immediateFlush=*/true));
--- a/src/shell/process/agent_role.cc
+++ b/src/shell/process/agent_role.cc
@@ -87,7 +87,7 @@
   CarryOut(core_.Handle(input, MonotonicNow()));
 }
 
-void AgentRole::CarryOut(std::vector<AgentEffect> effects) {
+void AgentRole::CarryOut(const std::vector<AgentEffect>& effects) {
   for (const AgentEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
--- a/tests/core/replication/cluster.h
+++ b/tests/core/replication/cluster.h
@@ -45,7 +45,7 @@
 class Cluster {
  public:
   // `options` lacks only what differs between processes.
-  Cluster(std::size_t nodes, std::vector<std::size_t> seeds,
+  Cluster(std::size_t nodes, const std::vector<std::size_t>& seeds,
           const ReplicaOptions& options, std::uint64_t seed);
 
   void RunFor(Duration duration);
@@ -59,6 +59,8 @@
   void Freeze(std::size_t node, Duration duration);
   // Cuts the node off from all others, in the given directions.
   void Cut(std::size_t node, bool incoming, bool outgoing);
+  // Cuts only the link between the two, in both directions.
+  void CutLink(std::size_t a, std::size_t b);
   void HealNetwork();
 
   ProposalId ProposeAt(std::size_t node, const std::string& command);
@@ -75,8 +77,12 @@
   Time now() const { return now_; }
   std::uint64_t Random(std::uint64_t bound) { return random_() % bound; }
   NetworkFaults& faults() { return faults_; }
+  // The longest time that a sync takes.
   Duration& sync_delay() { return sync_delay_; }
   ClusterChecks& checks() { return checks_; }
+  std::size_t elections() const { return elections_; }
+  // Changes of the voters that were committed.
+  std::size_t voter_changes() const { return voter_changes_; }
 
  private:
   enum class EventKind : std::uint8_t { kTick, kDeliver, kSync };
@@ -87,6 +93,12 @@
     ReplicaMessageReceived message;
   };
 
+  struct Proposed {
+    std::string command;
+    // The highest index that was accepted before.
+    LogIndex floor = 0;
+  };
+
   void Schedule(Duration delay, Event event);
   void Run(const Event& event);
   void Sync(std::size_t node);
@@ -111,12 +123,15 @@
   Duration sync_delay_ = std::chrono::milliseconds(2);
   std::set<std::size_t> cut_incoming_;
   std::set<std::size_t> cut_outgoing_;
+  std::set<std::pair<std::size_t, std::size_t>> cut_links_;
   std::multimap<Time, Event> events_;
   std::map<ProposalId, ProposalOutcome> outcomes_;
-  std::map<ProposalId, std::string> commands_;
+  std::map<ProposalId, Proposed> commands_;
   ProposalId next_proposal_ = 1;
   Incarnation next_incarnation_ = 1;
   ClusterChecks checks_;
+  std::size_t elections_ = 0;
+  std::size_t voter_changes_ = 0;
 };
 
 }  // namespace coltsfootfork
--- a/tests/shell/log/event_test.cc
+++ b/tests/shell/log/event_test.cc
@@ -20,7 +20,7 @@
     std::string name;
     words >> bar >> number >> bar >> name;
     if (number.find_first_not_of("0123456789") != std::string::npos) continue;
-    if (!number.empty()) rows.insert(number + " " + name);
+    if (!number.empty()) rows.insert(number.append(" ").append(name));
   }
   return rows;
 }
