--- a/include/coltsfootfork/core/scheduling/scheduling_policy.h
+++ b/include/coltsfootfork/core/scheduling/scheduling_policy.h
@@ -23,7 +23,7 @@
 // fits, and while the gap between tokens keeps to the rank's target.
 struct AdmitByPredictedPeak {
   // The quantile of the remaining length that a prediction counts with.
-  double length_quantile = 0.6;
+  double length_quantile = 0.4;
   // The least share of memory and batch that only urgent work may take.
   double urgent_headroom = 0.04;
   // Prompt tokens in prefill at one time, beyond which nothing more is handed
--- a/src/core/scheduling/admission.cc
+++ b/src/core/scheduling/admission.cc
@@ -76,7 +76,7 @@
     }
     return running.size() < admission.batch_.Limit() * bounds.batch_share &&
            PrefillAhead() < bounds.prefill_tokens &&
-           Peak() <= Memory() * (bounds.memory_share - admission.reserve_);
+           Peak() <= Memory() * bounds.memory_share;
   }
 
   // Prompt tokens that the engine takes in before this request's.
@@ -96,9 +96,11 @@
   Bounds BoundsOf(const AdmitByPredictedPeak& policy) const {
     const double full = 1 - kKeptForSmall;
     const double rest = full - admission.headroom_.share();
+    // Urgent work may go into the reserve: it is not what gets preempted.
+    const double unreserved = rest - admission.reserve_;
     switch (privilege) {
       case Privilege::kNone:
-        return {rest, rest, policy.prefill_tokens / 2};
+        return {rest, unreserved, policy.prefill_tokens / 2};
       case Privilege::kFull:
         return {full, full, policy.prefill_tokens};
       case Privilege::kSmallCaller:
@@ -108,14 +110,15 @@
             std::numeric_limits<std::uint64_t>::max()};
   }
 
+  // The peak while the request itself runs: what streams that outlive it come
+  // to hold later is none of its doing, and refusing it would not help them.
   double Peak() const {
+    const double remaining = lengths.Remaining(
+        dispatch.service, dispatch.workspace, dispatch.first_index,
+        dispatch.max_output_tokens, admission.length_quantile_);
     std::vector<MemoryUse> batch = UseOf(running);
-    batch.push_back(
-        {HeldAtStart(dispatch),
-         lengths.Remaining(dispatch.service, dispatch.workspace,
-                           dispatch.first_index, dispatch.max_output_tokens,
-                           admission.length_quantile_)});
-    return PredictPeak(std::move(batch));
+    batch.push_back({HeldAtStart(dispatch), remaining});
+    return PredictPeak(std::move(batch), remaining);
   }
 };
 
--- a/src/core/scheduling/memory_peak.cc
+++ b/src/core/scheduling/memory_peak.cc
@@ -5,7 +5,7 @@
 
 namespace coltsfootfork {
 
-double PredictPeak(std::vector<MemoryUse> batch) {
+double PredictPeak(std::vector<MemoryUse> batch, double steps) {
   std::sort(batch.begin(), batch.end(),
             [](const MemoryUse& a, const MemoryUse& b) {
               return a.remaining > b.remaining;
@@ -17,7 +17,8 @@
   for (std::size_t i = 0; i < batch.size(); ++i) {
     held += batch[i].held;
     const double left = static_cast<double>(i + 1);
-    peak = std::max(peak, held + left * batch[i].remaining);
+    const double at = std::min(batch[i].remaining, steps);
+    peak = std::max(peak, held + left * at);
   }
   return peak;
 }
--- a/src/core/scheduling/memory_peak.h
+++ b/src/core/scheduling/memory_peak.h
@@ -12,8 +12,8 @@
   double remaining = 0;
 };
 
-// The most memory in tokens that a batch takes at any later time, when each
-// request makes a token a step and gives its memory back at its end.
-double PredictPeak(std::vector<MemoryUse> batch);
+// The most memory in tokens that a batch takes within the next `steps`, when
+// each request makes a token a step and gives its memory back at its end.
+double PredictPeak(std::vector<MemoryUse> batch, double steps);
 
 }  // namespace coltsfootfork
