--- a/src/core/scheduling/agent_core.cc
+++ b/src/core/scheduling/agent_core.cc
@@ -99,7 +99,7 @@
 
 // What follows from any change.
 void Settle(AgentState& state, Time now, Effects& effects) {
-  StartWhatFits(state, now, effects);
+  if (state.start_due) StartWhatFits(state, now, effects);
   state.capacity.Observe(!state.queue.empty(), now);
   Report(state, now, effects);
 }
@@ -114,6 +114,7 @@
 
 std::vector<AgentEffect> AgentCore::Handle(const AgentInput& input, Time now) {
   Effects effects;
+  state_->start_due = true;
   std::visit(Inputs(*state_, now, effects), input);
   Settle(*state_, now, effects);
   return effects.Take();
@@ -121,6 +122,7 @@
 
 std::vector<AgentEffect> AgentCore::Tick(Time now) {
   Effects effects;
+  state_->start_due = true;
   Watch(*state_, now, effects);
   state_->admission.Observe(state_->running.size(), now);
   Settle(*state_, now, effects);
--- a/src/core/scheduling/agent_state.h
+++ b/src/core/scheduling/agent_state.h
@@ -59,6 +59,8 @@
   CapacityMeter capacity;
   FenceGuard fences;
   ReportState report;
+  // Whether the present input may let waiting work start.
+  bool start_due = false;
   // Time that the server takes for one token of a prompt.
   std::chrono::duration<double> prefill_per_token{0};
 
--- a/src/core/scheduling/engine_events.cc
+++ b/src/core/scheduling/engine_events.cc
@@ -92,6 +92,8 @@
     return;
   }
   MeasureGap(*running);
+  // Only the end of a prefill makes room; the rest waits for the next tick.
+  state_.start_due = running->in_prefill();
   state_.running.Advance(*running, now_);
   state_.admission.Refresh(*running, state_.lengths);
   state_.capacity.CountTokens(running->rank, 1);
