storage: Keep the sanitizer build free of warnings

The compiler took the empty vote of the record that Mend writes for uninitialized under the sanitizers.

--- a/src/shell/storage/disk_log.cc
+++ b/src/shell/storage/disk_log.cc
@@ -63,6 +63,7 @@
   BOOST_LEAF_CHECK(SyncFolder(folder_.path(), options_.fault));
   if (!needs_reset) return {};
   LogRecord record;
+  record.hard_state = hard_state_;
   record.reset_to = snapshot_index_;
   return WriteRecord(std::move(record));
 }
--- a/tests/core/replication/replica_codec_test.cc
+++ b/tests/core/replication/replica_codec_test.cc
@@ -54,6 +54,7 @@
       ProbeReply{ZoneId("x"), ProcessId("a"), {ProcessId("a")}},
       LaterTerm{4}};
   std::vector<ReplicaMessage> messages;
+  messages.reserve(bodies.size());
   for (const ReplicaMessageBody& body : bodies) {
     messages.push_back({~Incarnation{0}, 12, 13, body});
   }
