--- a/src/shell/process/agent_role.cc
+++ b/src/shell/process/agent_role.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coltsfootfork/core/scheduling/inventory_view.h"
 #include "shell/log/event.h"
 #include "shell/net/ip_address.h"
 
@@ -48,7 +49,9 @@
 
 void AgentRole::OnConfiguration(
     std::shared_ptr<const Configuration> configuration) {
+  configuration_ = configuration;
   Input(ConfigurationInForce{std::move(configuration)});
+  if (!server_.server.empty()) Input(EngineMessage{AllowedServer()});
 }
 
 void AgentRole::Tick(Time now) { CarryOut(core_.Tick(now)); }
@@ -63,26 +66,35 @@
   renewal.server = server_.server;
   renewal.services = server_.services;
   renewal.server_incarnation = server_.incarnation;
-  renewal.draining = stopping_ || server_.leaving;
+  renewal.draining = stopping_ || AllowedServer().leaving;
 }
 
 void AgentRole::OnEngineMessage(EngineToAgent message) {
   if (const auto* announced = std::get_if<EngineAnnounced>(&message)) {
-    if (announced->server != server_.server ||
-        announced->incarnation != server_.incarnation) {
-      Log(LogLevel::kInfo, Event::kServerAnnounced,
-          {{"server", announced->server.value()},
-           {"incarnation", std::to_string(announced->incarnation)}});
-    }
-    if (announced->leaving && !server_.leaving) {
-      Log(LogLevel::kInfo, Event::kServerDraining,
-          {{"server", announced->server.value()}});
-    }
-    server_ = *announced;
+    OnAnnouncement(*announced);
+    message = AllowedServer();
   }
   Input(EngineMessage{std::move(message)});
 }
 
+void AgentRole::OnAnnouncement(const EngineAnnounced& announced) {
+  if (announced.server != server_.server ||
+      announced.incarnation != server_.incarnation) {
+    Log(LogLevel::kInfo, Event::kServerAnnounced,
+        {{"server", announced.server.value()},
+         {"incarnation", std::to_string(announced.incarnation)}});
+  }
+  if (announced.leaving && !server_.leaving) {
+    Log(LogLevel::kInfo, Event::kServerDraining,
+        {{"server", announced.server.value()}});
+  }
+  server_ = announced;
+}
+
+EngineAnnounced AgentRole::AllowedServer() const {
+  return configuration_ ? AsInventoryAllows(server_, *configuration_) : server_;
+}
+
 void AgentRole::Input(const AgentInput& input) {
   CarryOut(core_.Handle(input, MonotonicNow()));
 }
--- a/src/shell/process/agent_role.h
+++ b/src/shell/process/agent_role.h
@@ -45,10 +45,15 @@
   void CarryOut(const OrderSettled& effect);
   void CarryOut(const CountReason& effect);
   void OnEngineMessage(EngineToAgent message);
+  void OnAnnouncement(const EngineAnnounced& announced);
+  // The last announcement as the inventory allows it.
+  EngineAnnounced AllowedServer() const;
 
   ProcessContext& context_;
   AgentCore core_;
+  // What the server says of itself, and what the inventory makes of it.
   EngineAnnounced server_;
+  std::shared_ptr<const Configuration> configuration_;
   bool stopping_ = false;
   HttpEngineAdapter adapter_;
 };
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coltsfootfork/core/routing/agent_subset.h"
 #include "coltsfootfork/core/stream/stored_generation.h"
 #include "shell/log/event.h"
 #include "shell/net/ip_address.h"
@@ -47,7 +48,11 @@
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
 
-void EntryRole::OnAgentDown(const ProcessId& agent) { Input(AgentDown{agent}); }
+void EntryRole::OnAgentDown(const ProcessId& agent) {
+  Input(AgentDown{agent});
+  // A link outside the subset stays only as long as it carries streams.
+  if (agents_.count(agent) == 0) context_.hub.Drop(agent);
+}
 
 void EntryRole::OnAgentMessage(const ProcessId& agent, AgentToEntry message) {
   Input(AgentMessage{agent, std::move(message)});
@@ -59,21 +64,14 @@
 }
 
 void EntryRole::OnDirectory(const std::vector<DirectoryAgent>& directory) {
-  std::set<ProcessId> listed;
-  for (const DirectoryAgent& agent : directory) {
-    listed.insert(agent.process);
+  const std::vector<DirectoryAgent> subset = ChooseAgentSubset(
+      directory, context_.settings.process, context_.settings.zone);
+  agents_.clear();
+  for (const DirectoryAgent& agent : subset) {
     agents_.insert(agent.process);
     context_.hub.Keep(agent.process, agent.address);
   }
-  Input(DirectoryChanged{directory});
-  for (auto it = agents_.begin(); it != agents_.end();) {
-    if (listed.count(*it) > 0) {
-      ++it;
-      continue;
-    }
-    // A link that still carries streams ends with them, by the agent's hand.
-    it = agents_.erase(it);
-  }
+  Input(DirectoryChanged{subset});
 }
 
 void EntryRole::Tick(Time now) {
--- a/src/shell/process/entry_role.h
+++ b/src/shell/process/entry_role.h
@@ -82,7 +82,7 @@
   std::string request_prefix_;
   std::uint64_t next_request_ = 1;
   std::map<RequestId, Caller> callers_;
-  // Agents that the directory lists.
+  // The directory's agents that this entry keeps links to.
   std::set<ProcessId> agents_;
   std::uint32_t open_settles_ = 0;
   bool stopping_ = false;
--- /dev/null
+++ b/tests/core/scheduling/inventory_view_test.cc
@@ -0,0 +1,37 @@
+#include "coltsfootfork/core/scheduling/inventory_view.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+Configuration OneServer() {
+  Configuration configuration;
+  InventoryServer server;
+  server.id = ServerId("engine-1");
+  server.services = {ServiceId("mirror")};
+  configuration.servers = {server};
+  return configuration;
+}
+
+EngineAnnounced Announced(const char* name) {
+  EngineAnnounced announced;
+  announced.server = ServerId(name);
+  announced.services = {ServiceId("mirror"), ServiceId("unlisted")};
+  return announced;
+}
+
+BOOST_AUTO_TEST_CASE(OnlyListedServicesCount) {
+  const EngineAnnounced allowed =
+      AsInventoryAllows(Announced("engine-1"), OneServer());
+  BOOST_TEST(!allowed.leaving);
+  BOOST_REQUIRE_EQUAL(allowed.services.size(), 1U);
+  BOOST_TEST(allowed.services.front().value() == "mirror");
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatIsNotListedIsLeaving) {
+  BOOST_TEST(AsInventoryAllows(Announced("engine-2"), OneServer()).leaving);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
