--- a/tests/core/routing/entry_reasons_test.cc
+++ b/tests/core/routing/entry_reasons_test.cc
@@ -145,6 +145,17 @@
   BOOST_TEST(cluster.Caller("b").answer.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(KeyedCallRunsAtMostOnceWithoutARule) {
+  FakeCluster cluster(2);
+  CallerRequest call = FakeCluster::PlainCall("a", "GET");
+  call.idempotency_key = "key";
+  cluster.Input(call);
+  cluster.DeliverAll();
+  cluster.AgentOf("a").Start(kA);
+  cluster.LinkDown(cluster.HolderOf("a"));
+  CheckProblem(&cluster, Reason::kOutcomeUnknown, false);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalMovesTheRequestAndEndsItWhenNobodyIsLeft) {
   FakeCluster cluster(2);
   cluster.Input(FakeCluster::PlainCall("a", "POST"));
--- a/tests/core/routing/failure_table_test.cc
+++ b/tests/core/routing/failure_table_test.cc
@@ -15,7 +15,6 @@
 using testing::CallerView;
 using testing::FakeAgent;
 using testing::FakeCluster;
-using testing::TokenText;
 
 enum class Where { kLink, kAgent, kServer, kQuorum, kCaller, kEntry };
 enum class When { kBefore, kDuring, kAfter };
@@ -169,16 +168,6 @@
                                                              : O::kUnknown;
 }
 
-void CheckTokens(const CallerView& caller) {
-  for (std::size_t i = 0; i < caller.tokens.size(); ++i) {
-    BOOST_TEST(caller.indices[i] == i);
-    const std::string generation = caller.tokens.front().substr(2, 1);
-    const auto number = static_cast<Generation>(std::stoul(generation));
-    BOOST_TEST(caller.tokens[i] == TokenText(RequestId(kName), number,
-                                             static_cast<std::uint32_t>(i)));
-  }
-}
-
 void CheckResend(FakeCluster* cluster, Resend expected) {
   const int runs_before = cluster->Runs(kName);
   cluster->Input(MakeRequest(Kind::kKeyed, kResendName));
@@ -227,7 +216,7 @@
   BOOST_TEST((OutcomeFor(caller) == expected));
   BOOST_TEST(caller.finals == (expected == O::kNothing ? 0 : 1));
   BOOST_TEST(caller.after_final == 0);
-  CheckTokens(caller);
+  testing::CheckTokens(RequestId(kName), caller);
   const int runs = cluster.Runs(kName);
   if (expected == O::kNotRun) BOOST_TEST(runs == 0);
   if (expected == O::kAnswered) BOOST_TEST(runs >= 1);
--- a/tests/core/routing/fake_agent.h
+++ b/tests/core/routing/fake_agent.h
@@ -55,7 +55,6 @@
     report.zone = ZoneId("z1");
     report.services = {ServiceId("model"), ServiceId("ledger")};
     report.serving = true;
-    report.draining = draining_;
     report.memory_tokens = 100000;
     report.prefill_per_token = std::chrono::microseconds(20);
     return report;
@@ -136,8 +135,6 @@
     outbox_.clear();
   }
 
-  void SetDraining(bool draining) { draining_ = draining; }
-
   std::vector<RequestId> Requests() const {
     std::vector<RequestId> names;
     for (const auto& [name, run] : runs_at_server_) names.push_back(name);
@@ -180,7 +177,6 @@
   std::string name_;
   std::map<RequestId, int>* runs_ = nullptr;
   std::uint64_t incarnation_ = 1;
-  bool draining_ = false;
   std::map<RequestId, FakeRun> runs_at_server_;
   std::deque<AgentToEntry> outbox_;
 };
--- a/tests/core/routing/fake_cluster.h
+++ b/tests/core/routing/fake_cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/test/unit_test.hpp>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -25,6 +26,18 @@
   int after_final = 0;
 };
 
+// Checks that all tokens of a caller are of one generation and in order.
+inline void CheckTokens(const RequestId& request, const CallerView& caller) {
+  for (std::size_t i = 0; i < caller.tokens.size(); ++i) {
+    const std::string& first = caller.tokens.front();
+    const auto generation =
+        static_cast<Generation>(std::stoul(first.substr(first.find('/') + 1)));
+    BOOST_TEST(caller.indices[i] == i);
+    BOOST_TEST(caller.tokens[i] ==
+               TokenText(request, generation, static_cast<std::uint32_t>(i)));
+  }
+}
+
 // The control replicas' claims, with a quorum or without.
 class FakeClaims {
  public:
@@ -240,17 +253,13 @@
   std::map<Reason, int> counts;
   FakeClaims claims;
   std::deque<ClaimBegin> asked_claims;
-  // Sends of the entry that get lost from now on.
-  int sends_to_lose = 0;
 
  private:
   struct EffectVisitor {
     FakeCluster* cluster;
 
     void operator()(const SendToAgent& send) const {
-      if (cluster->sends_to_lose > 0) {
-        --cluster->sends_to_lose;
-      } else if (cluster->links[send.agent]) {
+      if (cluster->links[send.agent]) {
         cluster->agents.at(send.agent).Take(send.message);
       }
     }
