--- a/bench/routing/main.cc
+++ b/bench/routing/main.cc
@@ -2,6 +2,7 @@
 
 int main() {
   coltsfootfork::bench::PrintChoiceCost();
+  coltsfootfork::bench::PrintRequestCost();
   coltsfootfork::bench::PrintMemoryUse();
   coltsfootfork::bench::PrintChoiceQuality();
   return 0;
