--- a/src/shell/process/agent_role.h
+++ b/src/shell/process/agent_role.h
@@ -39,7 +39,7 @@
 
  private:
   void Input(const AgentInput& input);
-  void CarryOut(std::vector<AgentEffect> effects);
+  void CarryOut(const std::vector<AgentEffect>& effects);
   void CarryOut(const SendToEntry& effect);
   void CarryOut(const SendToEngine& effect);
   void CarryOut(const OrderSettled& effect);
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -40,8 +40,9 @@
                       std::to_string(seed) + "-"),
       server_(context.io, ParseEndpoint(context.settings.entry->listen).value(),
               HttpLimits{},
-              [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
-                OnRequest(std::move(http), std::move(exchange));
+              [this](const HttpRequest& http,
+                     std::shared_ptr<HttpExchange> exchange) {
+                OnRequest(http, std::move(exchange));
               }) {}
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
@@ -90,7 +91,7 @@
   return core_.Drained() && callers_.empty() && open_settles_ == 0;
 }
 
-void EntryRole::OnRequest(HttpRequest http,
+void EntryRole::OnRequest(const HttpRequest& http,
                           std::shared_ptr<HttpExchange> exchange) {
   const auto& rules = context_.follower.rules();
   if (!rules) {
@@ -155,7 +156,7 @@
   CarryOut(core_.Handle(input, MonotonicNow()));
 }
 
-void EntryRole::CarryOut(std::vector<EntryEffect> effects) {
+void EntryRole::CarryOut(const std::vector<EntryEffect>& effects) {
   for (const EntryEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
--- a/src/shell/process/entry_role.h
+++ b/src/shell/process/entry_role.h
@@ -57,14 +57,15 @@
     std::uint64_t reported_backlog = 0;
   };
 
-  void OnRequest(HttpRequest http, std::shared_ptr<HttpExchange> exchange);
+  void OnRequest(const HttpRequest& http,
+                 std::shared_ptr<HttpExchange> exchange);
   void Admit(ReadCallerRequest read, std::shared_ptr<HttpExchange> exchange);
   void Refuse(HttpExchange& exchange, Reason reason, std::string detail,
               std::chrono::milliseconds retry_after);
   RequestId NextRequestId();
 
   void Input(const EntryInput& input);
-  void CarryOut(std::vector<EntryEffect> effects);
+  void CarryOut(const std::vector<EntryEffect>& effects);
   void CarryOut(const SendToAgent& effect);
   void CarryOut(const DeliverToken& effect);
   void CarryOut(const DeliverEnd& effect);
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -62,11 +62,11 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
-long ChildProcess::StatusNumber(const std::string& name) const {
+std::int64_t ChildProcess::StatusNumber(const std::string& name) const {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
   std::string word;
   while (status >> word) {
-    long number = 0;
+    std::int64_t number = 0;
     if (word == name + ":" && status >> number) return number;
   }
   return -1;
