--- a/src/core/replication/election.cc
+++ b/src/core/replication/election.cc
@@ -3,13 +3,25 @@
 #include "core/replication/quorum.h"
 
 namespace coltsfootfork {
+namespace {
+
+// A learner campaigns only after the voters have tried for so many election
+// minimums. It must, where it alone has the latest entries, and the voters may
+// not elect one that lacks them.
+constexpr int kLearnerDelayMinimums = 4;
+
+}  // namespace
 
 bool Election::Tick(Time now) {
-  if (now < state_.election_due) return false;
   const ReplicaRole role = state_.role();
-  const bool campaigns = role == ReplicaRole::kFollower ||
-                         role == ReplicaRole::kPreCandidate ||
-                         role == ReplicaRole::kCandidate;
+  Time due = state_.election_due;
+  if (role == ReplicaRole::kLearner) {
+    due += kLearnerDelayMinimums * state_.options.election_minimum;
+  }
+  if (now < due) return false;
+  const bool campaigns =
+      role == ReplicaRole::kLearner || role == ReplicaRole::kFollower ||
+      role == ReplicaRole::kPreCandidate || role == ReplicaRole::kCandidate;
   if (!campaigns) return false;
   StartPreVote(now);
   return Count(now);
--- a/src/core/replication/replica_state.cc
+++ b/src/core/replication/replica_state.cc
@@ -68,6 +68,7 @@
   }
   if (leader == self) leader.reset();
   roles.Process(RoleEvent::kSteppedDown);
+  FollowMembership();
   RestartElectionTimer(now);
 }
 
--- a/src/core/replication/voter_changes.cc
+++ b/src/core/replication/voter_changes.cc
@@ -10,8 +10,8 @@
 // Seven voters, and two on their way.
 constexpr std::size_t kMaxMembers = 9;
 constexpr std::size_t kMaxVoters = 7;
-// How many election minimums a leaving voter that led holds back, so that one
-// that stays can be elected.
+// How many election minimums a leader that is no lasting voter holds back when
+// it stops, so that a voter can be elected.
 constexpr int kHoldBackMinimums = 6;
 
 bool IsLearner(const Member* member) {
@@ -92,17 +92,18 @@
 }
 
 void VoterChanges::Settle(Time now) {
-  const bool is_due = state_.log.membership().IsChanging() &&
-                      state_.log.membership_index() <= state_.commit &&
-                      leadership_.HoldsLease(now);
-  if (!is_due) return;
-  const Member* self = state_.log.membership().Find(state_.self);
-  if (self != nullptr && self->role == MemberRole::kLeaving) {
+  const Membership& membership = state_.log.membership();
+  const bool is_settled = state_.log.membership_index() <= state_.commit;
+  if (!is_settled || !leadership_.HoldsLease(now)) return;
+  const Member* self = membership.Find(state_.self);
+  if (self == nullptr || !self->CountsAfter()) {
+    // The voters have everything by now, so one of them can lead.
     state_.StepDown(state_.hard.term, now);
     state_.election_due =
         now + kHoldBackMinimums * state_.options.election_minimum;
     return;
   }
+  if (!membership.IsChanging()) return;
   if (pending_) pending_->index = state_.log.last_index() + 1;
   Append(Settled(state_.log.membership()), now);
 }
--- a/src/core/replication/voter_changes.h
+++ b/src/core/replication/voter_changes.h
@@ -17,7 +17,7 @@
   // The entry is committed and applied.
   void OnApplied(const LogEntry& entry);
   // Ends the replacement of a voter once both majorities have it, also one
-  // that an earlier leader began.
+  // that an earlier leader began. A leader that is no lasting voter stops.
   void Settle(Time now);
   // The replica leads no more.
   void Stop();
--- a/src/core/replication/voter_planner.cc
+++ b/src/core/replication/voter_planner.cc
@@ -13,6 +13,7 @@
        const std::vector<MemberHealth>& health,
        const std::vector<VoterOffer>& offers, LogIndex commit, Time now)
       : options_(options), offers_(offers), commit_(commit), now_(now) {
+    leader_ = health.front().member.id;
     for (const MemberHealth& one : health) {
       if (!one.member.IsVoter()) {
         learners_.push_back(one);
@@ -62,7 +63,7 @@
     if (IsShort()) {
       return ChangeVoter{VoterChangeKind::kPromote, member.id, member.zone, {}};
     }
-    return Replace(MostCrowded(), member);
+    return Replace(*MostCrowded(), member);
   }
 
   static ChangeVoter Replace(const Member& leaving, const Member& joining) {
@@ -70,10 +71,10 @@
   }
 
   std::optional<ChangeVoter> RemoveOne() const {
-    if (dead_voters_.empty() && live_voters_.size() < 2) return std::nullopt;
-    const Member& member =
-        dead_voters_.empty() ? MostCrowded() : dead_voters_.front().member;
-    return ChangeVoter{VoterChangeKind::kRemove, member.id, member.zone, {}};
+    const Member* member =
+        dead_voters_.empty() ? MostCrowded() : &dead_voters_.front().member;
+    if (member == nullptr) return std::nullopt;
+    return ChangeVoter{VoterChangeKind::kRemove, member->id, member->zone, {}};
   }
 
   std::optional<ChangeVoter> AddLearner() const {
@@ -95,18 +96,20 @@
   // Whether another voter in the zone would repair or spread the group.
   bool IsWanted(const ZoneId& zone) const {
     if (IsShort() || !dead_voters_.empty()) return true;
-    if (live_voters_.size() < 2) return false;
-    return VotersIn(MostCrowded().zone) >= VotersIn(zone) + 2;
+    const Member* crowded = MostCrowded();
+    return crowded != nullptr && VotersIn(crowded->zone) >= VotersIn(zone) + 2;
   }
 
   // A live voter of the zone with the most of them, but not the leader.
-  const Member& MostCrowded() const {
-    return std::max_element(live_voters_.begin() + 1, live_voters_.end(),
-                            [&](const MemberHealth& a, const MemberHealth& b) {
-                              return VotersIn(a.member.zone) <
-                                     VotersIn(b.member.zone);
-                            })
-        ->member;
+  const Member* MostCrowded() const {
+    const Member* crowded = nullptr;
+    for (const MemberHealth& one : live_voters_) {
+      if (one.member.id == leader_) continue;
+      const bool more = crowded == nullptr ||
+                        VotersIn(one.member.zone) > VotersIn(crowded->zone);
+      if (more) crowded = &one.member;
+    }
+    return crowded;
   }
 
   std::size_t VotersIn(const ZoneId& zone) const {
@@ -118,7 +121,7 @@
   const std::vector<VoterOffer>& offers_;
   LogIndex commit_ = 0;
   Time now_;
-  // The leader is the first.
+  ReplicaId leader_;
   std::vector<MemberHealth> live_voters_;
   std::vector<MemberHealth> dead_voters_;
   std::vector<MemberHealth> learners_;
--- a/tests/core/replication/fault_schedule_test.cc
+++ b/tests/core/replication/fault_schedule_test.cc
@@ -16,6 +16,13 @@
   }
 }
 
+// A leader lost its folder when only a learner had its latest entries: no voter
+// could be elected without the learner's vote, and the learner never
+// campaigned.
+BOOST_AUTO_TEST_CASE(OnlyALearnerHasTheLatestEntries) {
+  BOOST_TEST(RunFaultSchedule(4872).problems.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ASeedGivesTheSameRunTwice) {
   const ScheduleResult first = RunFaultSchedule(1);
   const ScheduleResult second = RunFaultSchedule(1);
--- a/tests/core/replication/replica_test.cc
+++ b/tests/core/replication/replica_test.cc
@@ -123,6 +123,25 @@
   BOOST_TEST(leader.replica().commit_index() == 3U);
 }
 
+// Where it alone has the latest entries, the voters may elect nobody else.
+BOOST_AUTO_TEST_CASE(ALearnerCampaignsAfterTheVotersHaveTried) {
+  RecoveredState past;
+  past.incarnation = 2;
+  past.hard_state = {9, 2, std::nullopt};
+  Membership membership;
+  membership.members = {{{ProcessId("a"), 1}, ZoneId("x"), MemberRole::kVoter},
+                        {{ProcessId("b"), 2}, ZoneId("x"), {}}};
+  past.entries.push_back({1, 1, EntryKind::kMembership, {}, membership});
+  ReplicaOptions options;
+  options.self = ProcessId("b");
+  const Time start(seconds(100));
+  Replica replica(options, past, 1, start);
+  replica.Tick(start + 4 * options.election_minimum);
+  BOOST_TEST((replica.role() == ReplicaRole::kLearner));
+  replica.Tick(start + 6 * options.election_minimum);
+  BOOST_TEST((replica.role() == ReplicaRole::kPreCandidate));
+}
+
 // Found by a fault schedule: an answer to a request of an earlier term counted
 // as an answer to the same leader's present term, and renewed its lease.
 BOOST_AUTO_TEST_CASE(AnAnswerToAnEarlierTermRenewsNothing) {
