--- a/include/coltsfootfork/core/control_state/lease_table.h
+++ b/include/coltsfootfork/core/control_state/lease_table.h
@@ -88,6 +88,8 @@
   void Accept(const RenewLease& renew, Time now);
   void Forget(const ProcessId& process);
   void ForgetSilent(Time now);
+  // The inventory's entry of a backend server that is where it should be.
+  const InventoryServer* ListedServer(const RenewLease& last) const;
   std::string InventoryProblem(const RenewLease& last) const;
   void RefreshDirectory(Time now);
 
--- a/src/core/control_state/lease_table.cc
+++ b/src/core/control_state/lease_table.cc
@@ -13,7 +13,8 @@
 // The directory's version holds the term above this many bits.
 constexpr unsigned kDirectoryCountBits = 32;
 
-bool Contains(const std::vector<std::uint64_t>& list, std::uint64_t value) {
+template <typename T>
+bool Contains(const std::vector<T>& list, const T& value) {
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
@@ -41,9 +42,18 @@
   if (owner != owners.end() && owner->second == process) owners.erase(owner);
 }
 
-DirectoryAgent AgentOf(const RenewLease& last) {
-  return {last.process, last.address,  last.zone,
-          last.server,  last.services, last.draining || last.stopping};
+DirectoryAgent AgentOf(const RenewLease& last,
+                       const std::vector<ServiceId>& listed) {
+  DirectoryAgent agent;
+  agent.process = last.process;
+  agent.address = last.address;
+  agent.zone = last.zone;
+  agent.server = last.server;
+  for (const ServiceId& service : last.services) {
+    if (Contains(listed, service)) agent.services.push_back(service);
+  }
+  agent.draining = last.draining || last.stopping;
+  return agent;
 }
 
 }  // namespace
@@ -210,10 +220,11 @@
   directory_stale_ = false;
   std::vector<DirectoryAgent> agents;
   for (const auto& [process, holder] : holders_) {
-    const bool serves = !holder.last.server.empty() && IsLive(holder, now) &&
-                        rules_ != nullptr &&
-                        InventoryProblem(holder.last).empty();
-    if (serves) agents.push_back(AgentOf(holder.last));
+    const InventoryServer* listed = ListedServer(holder.last);
+    if (listed == nullptr || !IsLive(holder, now)) continue;
+    DirectoryAgent agent = AgentOf(holder.last, listed->services);
+    // A server without any listed service has nothing to do here.
+    if (!agent.services.empty()) agents.push_back(std::move(agent));
   }
   const bool same = std::equal(agents.begin(), agents.end(), directory_.begin(),
                                directory_.end(), SameAgent);
@@ -223,6 +234,12 @@
   ++directory_count_;
 }
 
+const InventoryServer* LeaseTable::ListedServer(const RenewLease& last) const {
+  if (rules_ == nullptr || last.server.empty()) return nullptr;
+  const InventoryServer* listed = rules_->FindServer(last.server);
+  return listed != nullptr && listed->zone == last.zone ? listed : nullptr;
+}
+
 std::string LeaseTable::InventoryProblem(const RenewLease& last) const {
   if (rules_ == nullptr || last.server.empty()) return {};
   const InventoryServer* expected = rules_->FindServer(last.server);
@@ -232,9 +249,7 @@
            ", but the inventory has it in " + expected->zone.value();
   }
   for (const ServiceId& service : last.services) {
-    const auto& services = expected->services;
-    if (std::find(services.begin(), services.end(), service) ==
-        services.end()) {
+    if (!Contains(expected->services, service)) {
       return "announces service " + service.value() +
              ", which the inventory does not list for it";
     }
--- a/tests/core/control_state/control_service_test.cc
+++ b/tests/core/control_state/control_service_test.cc
@@ -131,6 +131,7 @@
   renew.process = ProcessId("agent-1");
   renew.zone = ZoneId("local");
   renew.server = ServerId("engine-1");
+  renew.services = {ServiceId("mirror")};
   renew.in_force = 1;
   const auto granted = replica.Ask<RenewLeaseReply>(renew);
   BOOST_TEST(granted.granted);
