process: Record decisions and measure queue delay, memory and preemptions

Ticks that found nothing due are left out, since the core says when it has something to do. The agent's queue delay is taken from the times of messages and its gauges from the reports that the core makes anyway, so that the core needs no counters of its own.

--- a/src/cli/help_pages.cc
+++ b/src/cli/help_pages.cc
@@ -32,11 +32,13 @@
     R"(Runs one process of the system until it is told to stop.
 
 Usage:
-  coltsfootfork run --settings <file>
+  coltsfootfork run --settings <file> [--record <trace>] [--record-bodies]
   coltsfootfork run --help
 
 Options:
   --settings <file>  The settings of this process, in JSON.
+  --record <trace>   Record what the entry takes in and does, for replay.
+  --record-bodies    Record bodies and texts whole; else length and digest.
 
 The first line on standard output is a JSON object with every address in use.
 The log goes to standard error. SIGTERM starts a planned stop: running requests
--- a/src/cli/run_command.cc
+++ b/src/cli/run_command.cc
@@ -22,6 +22,13 @@
     std::cerr << path << ": not started\n" << findings.ToText();
     return ExitCode::kFailed;
   }
+  if (!arguments.Text("--record").empty() && !settings->entry) {
+    std::cerr << path << ": not started\n/entry: is missing, so that there is "
+              << "nothing to record\n";
+    return ExitCode::kFailed;
+  }
+  settings->record_path = arguments.Text("--record");
+  settings->record_bodies = arguments.Flag("--record-bodies");
   StartLog(settings->log_level);
   boost::asio::io_context io(1);
   Process process(io, std::move(*settings));
--- /dev/null
+++ b/src/shell/process/agent_metrics.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+
+#include "coltsfootfork/core/messages/agent_io.h"
+#include "coltsfootfork/core/metrics/metrics_registry.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// Measures what passes through an agent: queue delays from the times of
+// messages, and the gauges from the reports that the core makes anyway.
+class AgentMetrics {
+ public:
+  explicit AgentMetrics(MetricsRegistry& metrics) : metrics_(metrics) {}
+
+  void OnEntryMessage(const EntryMessage& message, Time now);
+  void OnEntryDown(const ProcessId& entry);
+  void OnEngineMessage(const EngineToAgent& message);
+  void OnEffect(const SendToEntry& effect);
+  void OnEffect(const SendToEngine& effect, Time now);
+
+  // Requests that were taken and neither handed over nor ended.
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  struct Waiting {
+    ProcessId entry;
+    Rank rank = Rank::kDeferrable;
+    ServiceId service;
+    Time taken;
+  };
+
+  void SetGauges(const ServerReport& report);
+
+  MetricsRegistry& metrics_;
+  std::map<RequestId, Waiting> waiting_;
+};
+
+}  // namespace coltsfootfork
--- a/src/shell/process/agent_role.cc
+++ b/src/shell/process/agent_role.cc
@@ -28,22 +28,29 @@
 AgentRole::AgentRole(ProcessContext& context, std::uint64_t seed)
     : context_(context),
       core_(MakeOptions(context.settings), seed),
+      metrics_(context.metrics),
       adapter_(
           context.io, MakeAdapterOptions(context.settings),
           [this](EngineToAgent message) {
             OnEngineMessage(std::move(message));
           },
-          [](const Finding& finding) {
+          [this](const Finding& finding) {
+            context_.metrics.Add(Counter::kInputFindings);
             Log(LogLevel::kWarning, Event::kServerFinding,
                 {{"place", finding.place}, {"problem", finding.problem}});
           }) {}
 
 void AgentRole::OnEntryUp(const ProcessId& entry) { Input(EntryUp{entry}); }
 
-void AgentRole::OnEntryDown(const ProcessId& entry) { Input(EntryDown{entry}); }
+void AgentRole::OnEntryDown(const ProcessId& entry) {
+  metrics_.OnEntryDown(entry);
+  Input(EntryDown{entry});
+}
 
 void AgentRole::OnEntryMessage(const ProcessId& entry, EntryToAgent message) {
-  Input(EntryMessage{entry, std::move(message)});
+  const EntryMessage input{entry, std::move(message)};
+  metrics_.OnEntryMessage(input, MonotonicNow());
+  Input(input);
 }
 
 void AgentRole::OnConfiguration(
@@ -80,6 +87,7 @@
     }
     server_ = *announced;
   }
+  metrics_.OnEngineMessage(message);
   Input(EngineMessage{std::move(message)});
 }
 
@@ -94,10 +102,12 @@
 }
 
 void AgentRole::CarryOut(const SendToEntry& effect) {
+  metrics_.OnEffect(effect);
   context_.hub.Send(effect.entry, LinkDirection::kIncoming, effect.message);
 }
 
 void AgentRole::CarryOut(const SendToEngine& effect) {
+  metrics_.OnEffect(effect, MonotonicNow());
   adapter_.Send(effect.message);
 }
 
--- a/src/shell/process/agent_role.h
+++ b/src/shell/process/agent_role.h
@@ -9,6 +9,7 @@
 #include "coltsfootfork/adapters/http_engine_adapter.h"
 #include "coltsfootfork/core/messages/agent_io.h"
 #include "coltsfootfork/core/scheduling/agent_core.h"
+#include "shell/process/agent_metrics.h"
 #include "shell/process/process_context.h"
 
 namespace coltsfootfork {
@@ -48,6 +49,7 @@
 
   ProcessContext& context_;
   AgentCore core_;
+  AgentMetrics metrics_;
   EngineAnnounced server_;
   bool stopping_ = false;
   HttpEngineAdapter adapter_;
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -42,7 +42,13 @@
               HttpLimits{},
               [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
                 OnRequest(std::move(http), std::move(exchange));
-              }) {}
+              }) {
+  if (context.settings.record_path.empty()) return;
+  trace_ = std::make_unique<TraceFile>(
+      context.settings.record_path,
+      TraceHeader{MakeOptions(context.settings), seed,
+                  context.settings.record_bodies});
+}
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
 
@@ -77,7 +83,13 @@
 
 void EntryRole::Tick(Time now) {
   ReportBacklogs();
-  CarryOut(core_.Tick(now));
+  context_.metrics.Set(Gauge::kOpenRequests, core_.open_requests());
+  const bool due = core_.NextDeadline() && *core_.NextDeadline() <= now;
+  std::vector<EntryEffect> effects = core_.Tick(now);
+  if (trace_ && (due || !effects.empty())) {
+    trace_->recorder().OnTick(effects, now);
+  }
+  CarryOut(std::move(effects));
 }
 
 void EntryRole::Stop() {
@@ -152,7 +164,10 @@
 }
 
 void EntryRole::Input(const EntryInput& input) {
-  CarryOut(core_.Handle(input, MonotonicNow()));
+  const Time now = MonotonicNow();
+  std::vector<EntryEffect> effects = core_.Handle(input, now);
+  if (trace_) trace_->recorder().OnInput(input, effects, now);
+  CarryOut(std::move(effects));
 }
 
 void EntryRole::CarryOut(std::vector<EntryEffect> effects) {
--- a/src/shell/process/entry_role.h
+++ b/src/shell/process/entry_role.h
@@ -14,6 +14,7 @@
 #include "shell/net/http_server.h"
 #include "shell/process/caller_answer.h"
 #include "shell/process/process_context.h"
+#include "shell/process/trace_file.h"
 
 namespace coltsfootfork {
 
@@ -78,6 +79,8 @@
 
   ProcessContext& context_;
   EntryCore core_;
+  // Null unless decisions are recorded.
+  std::unique_ptr<TraceFile> trace_;
   std::string request_prefix_;
   std::uint64_t next_request_ = 1;
   std::map<RequestId, Caller> callers_;
--- a/src/shell/process/settings.h
+++ b/src/shell/process/settings.h
@@ -50,6 +50,10 @@
   std::optional<AgentSettings> agent;
   std::optional<ControlSettings> control;
   LogLevel log_level = LogLevel::kInfo;
+  // Given on the command line: where the entry's decisions are recorded, and
+  // whether with whole bodies. Empty: nowhere.
+  std::string record_path;
+  bool record_bodies = false;
 };
 
 // Reads and checks a settings document. All faults are added to the findings,
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -60,7 +60,8 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
-json Fleet::Start(const std::string& name, json settings) {
+json Fleet::Start(const std::string& name, json settings,
+                  const std::vector<std::string>& words) {
   json whole = {
       {"process", name},
       {"availability_zone", "local"},
@@ -75,11 +76,11 @@
   }
   const std::string file = folder_ + "/" + name + ".json";
   std::ofstream(file) << whole.dump(2);
+  std::vector<std::string> line = {"run", "--settings", file};
+  line.insert(line.end(), words.begin(), words.end());
   processes_[name] = nullptr;
   processes_[name] = std::make_unique<ChildProcess>(
-      COLTSFOOTFORK_PROGRAM,
-      std::vector<std::string>{"run", "--settings", file},
-      folder_ + "/" + name + ".log");
+      COLTSFOOTFORK_PROGRAM, line, folder_ + "/" + name + ".log");
   return json::parse(processes_[name]->ReadLine());
 }
 
