--- a/src/shell/process/agent_role.cc
+++ b/src/shell/process/agent_role.cc
@@ -29,22 +29,29 @@
 AgentRole::AgentRole(ProcessContext& context, std::uint64_t seed)
     : context_(context),
       core_(MakeOptions(context.settings), seed),
+      metrics_(context.metrics),
       adapter_(
           context.io, MakeAdapterOptions(context.settings),
           [this](EngineToAgent message) {
             OnEngineMessage(std::move(message));
           },
-          [](const Finding& finding) {
+          [this](const Finding& finding) {
+            context_.metrics.Add(Counter::kInputFindings);
             Log(LogLevel::kWarning, Event::kServerFinding,
                 {{"place", finding.place}, {"problem", finding.problem}});
           }) {}
 
 void AgentRole::OnEntryUp(const ProcessId& entry) { Input(EntryUp{entry}); }
 
-void AgentRole::OnEntryDown(const ProcessId& entry) { Input(EntryDown{entry}); }
+void AgentRole::OnEntryDown(const ProcessId& entry) {
+  metrics_.OnEntryDown(entry);
+  Input(EntryDown{entry});
+}
 
 void AgentRole::OnEntryMessage(const ProcessId& entry, EntryToAgent message) {
-  Input(EntryMessage{entry, std::move(message)});
+  const EntryMessage input{entry, std::move(message)};
+  metrics_.OnEntryMessage(input, MonotonicNow());
+  Input(input);
 }
 
 void AgentRole::OnConfiguration(
@@ -74,6 +81,7 @@
     OnAnnouncement(*announced);
     message = AllowedServer();
   }
+  metrics_.OnEngineMessage(message);
   Input(EngineMessage{std::move(message)});
 }
 
@@ -106,10 +114,12 @@
 }
 
 void AgentRole::CarryOut(const SendToEntry& effect) {
+  metrics_.OnEffect(effect);
   context_.hub.Send(effect.entry, LinkDirection::kIncoming, effect.message);
 }
 
 void AgentRole::CarryOut(const SendToEngine& effect) {
+  metrics_.OnEffect(effect, MonotonicNow());
   adapter_.Send(effect.message);
 }
 
--- a/src/shell/process/agent_role.h
+++ b/src/shell/process/agent_role.h
@@ -9,6 +9,7 @@
 #include "coltsfootfork/adapters/http_engine_adapter.h"
 #include "coltsfootfork/core/messages/agent_io.h"
 #include "coltsfootfork/core/scheduling/agent_core.h"
+#include "shell/process/agent_metrics.h"
 #include "shell/process/process_context.h"
 
 namespace coltsfootfork {
@@ -51,7 +52,11 @@
 
   ProcessContext& context_;
   AgentCore core_;
+<<<<<<< HEAD
   // What the server says of itself, and what the inventory makes of it.
+=======
+  AgentMetrics metrics_;
+>>>>>>> standin
   EngineAnnounced server_;
   std::shared_ptr<const Configuration> configuration_;
   bool stopping_ = false;
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -41,10 +41,22 @@
                       std::to_string(seed) + "-"),
       server_(context.io, ParseEndpoint(context.settings.entry->listen).value(),
               HttpLimits{},
+<<<<<<< HEAD
               [this](const HttpRequest& http,
                      std::shared_ptr<HttpExchange> exchange) {
                 OnRequest(http, std::move(exchange));
               }) {}
+=======
+              [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
+                OnRequest(std::move(http), std::move(exchange));
+              }) {
+  if (context.settings.record_path.empty()) return;
+  trace_ = std::make_unique<TraceFile>(
+      context.settings.record_path,
+      TraceHeader{MakeOptions(context.settings), seed,
+                  context.settings.record_bodies});
+}
+>>>>>>> standin
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
 
@@ -76,7 +88,13 @@
 
 void EntryRole::Tick(Time now) {
   ReportBacklogs();
-  CarryOut(core_.Tick(now));
+  context_.metrics.Set(Gauge::kOpenRequests, core_.open_requests());
+  const bool due = core_.NextDeadline() && *core_.NextDeadline() <= now;
+  std::vector<EntryEffect> effects = core_.Tick(now);
+  if (trace_ && (due || !effects.empty())) {
+    trace_->recorder().OnTick(effects, now);
+  }
+  CarryOut(std::move(effects));
 }
 
 void EntryRole::Stop() {
@@ -151,7 +169,10 @@
 }
 
 void EntryRole::Input(const EntryInput& input) {
-  CarryOut(core_.Handle(input, MonotonicNow()));
+  const Time now = MonotonicNow();
+  std::vector<EntryEffect> effects = core_.Handle(input, now);
+  if (trace_) trace_->recorder().OnInput(input, effects, now);
+  CarryOut(std::move(effects));
 }
 
 void EntryRole::CarryOut(const std::vector<EntryEffect>& effects) {
