--- a/src/shell/process/agent_role.h
+++ b/src/shell/process/agent_role.h
@@ -52,11 +52,8 @@
 
   ProcessContext& context_;
   AgentCore core_;
-<<<<<<< HEAD
-  // What the server says of itself, and what the inventory makes of it.
-=======
   AgentMetrics metrics_;
->>>>>>> standin
+  // What the server says of itself, and what the inventory makes of it.
   EngineAnnounced server_;
   std::shared_ptr<const Configuration> configuration_;
   bool stopping_ = false;
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -41,14 +41,9 @@
                       std::to_string(seed) + "-"),
       server_(context.io, ParseEndpoint(context.settings.entry->listen).value(),
               HttpLimits{},
-<<<<<<< HEAD
               [this](const HttpRequest& http,
                      std::shared_ptr<HttpExchange> exchange) {
                 OnRequest(http, std::move(exchange));
-              }) {}
-=======
-              [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
-                OnRequest(std::move(http), std::move(exchange));
               }) {
   if (context.settings.record_path.empty()) return;
   trace_ = std::make_unique<TraceFile>(
@@ -56,7 +51,6 @@
       TraceHeader{MakeOptions(context.settings), seed,
                   context.settings.record_bodies});
 }
->>>>>>> standin
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
 
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -60,12 +60,8 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
-<<<<<<< HEAD
-json Fleet::Start(const std::string& name, const json& settings) {
-=======
-json Fleet::Start(const std::string& name, json settings,
+json Fleet::Start(const std::string& name, const json& settings,
                   const std::vector<std::string>& words) {
->>>>>>> standin
   json whole = {
       {"process", name},
       {"availability_zone", "local"},
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -22,14 +22,9 @@
   Fleet& operator=(const Fleet&) = delete;
 
   // Starts a process with these parts of its settings, and completes the rest.
-<<<<<<< HEAD
-  // Returns the addresses it tells.
-  nlohmann::json Start(const std::string& name, const nlohmann::json& settings);
-=======
   // Returns the addresses it tells. The words are added to its command line.
-  nlohmann::json Start(const std::string& name, nlohmann::json settings,
+  nlohmann::json Start(const std::string& name, const nlohmann::json& settings,
                        const std::vector<std::string>& words = {});
->>>>>>> standin
   // Starts a stand-in that announces itself at the agent's engine address.
   nlohmann::json StartEngine(const std::string& name,
                              const std::string& services,
