configuration: Let a process hand in its highest revision after its start

A process reads its data folder after it has built its parts, and passed 0 to the follower so far, which leaves out the rule that nothing below the highest revision seen before the start is taken. RestoreHighestSeen sets it later; a reply with an older document is then left out as with the constructor.

--- a/include/coltsfootfork/core/configuration/configuration_follower.h
+++ b/include/coltsfootfork/core/configuration/configuration_follower.h
@@ -60,6 +60,10 @@
   // where it keeps no state.
   ConfigurationFollower(FollowerLimits limits, Revision highest_before_start);
 
+  // The same as handing it to the constructor, for a process that reads its
+  // data folder later. It must come before the first reply.
+  void RestoreHighestSeen(Revision highest_before_start);
+
   // Any message of any process carried this revision.
   void OnRevisionSeen(Revision revision, Time now);
 
--- a/src/core/configuration/configuration_follower.cc
+++ b/src/core/configuration/configuration_follower.cc
@@ -23,6 +23,11 @@
   return rules_ == nullptr ? 0 : rules_->revision();
 }
 
+void ConfigurationFollower::RestoreHighestSeen(Revision highest_before_start) {
+  floor_ = std::max(floor_, highest_before_start);
+  highest_seen_ = std::max(highest_seen_, highest_before_start);
+}
+
 void ConfigurationFollower::OnRevisionSeen(Revision revision, Time now) {
   if (revision <= highest_seen_) return;
   highest_seen_ = revision;
--- a/tests/core/configuration/configuration_follower_test.cc
+++ b/tests/core/configuration/configuration_follower_test.cc
@@ -169,6 +169,10 @@
   BOOST_TEST((follower.OnReply(Whole(40), kStart).outcome ==
               FollowOutcome::kIgnoredOlder));
   BOOST_TEST(follower.in_force() == 0U);
+  ConfigurationFollower late({}, 0);
+  late.RestoreHighestSeen(50);
+  BOOST_TEST((late.OnReply(Whole(40), kStart).outcome ==
+              FollowOutcome::kIgnoredOlder));
   ConfigurationFollower running = FollowerAt(50);
   running.OnReply(Whole(40), kStart + seconds(899));
   // The old state confirms nothing either.
