routing: Keep retries and waiting places of the ranks apart

Both ranks drew on one retry budget and one list of requests that wait for a server, so a failing flood of deferrable work could take the retries and the places of urgent work. Each rank now has its own, and urgent requests get the first server that is back. A request that a lost server is proved never to have run moves for free, as off a leaving server: the queue of a dead server would have spent the whole budget, and its move repeats no work. Requests that do not wait no longer search the waiting list when they end.

--- a/include/coltsfootfork/core/routing/entry_options.h
+++ b/include/coltsfootfork/core/routing/entry_options.h
@@ -34,7 +34,7 @@
 struct RetryOptions {
   // Retries allowed for each recent success.
   double budget_share = 0.1;
-  // Retries that can be saved up, and that are there at the start.
+  // Retries of one rank that can be saved up, and that are there at the start.
   double budget_limit = 50.0;
   // Retries allowed each second however few successes there are.
   double budget_per_second = 1.0;
@@ -44,7 +44,7 @@
   std::uint32_t max_resumes = 2;
   // How long a request waits for a server that is known but not eligible.
   std::chrono::milliseconds server_wait{500};
-  // Requests that may wait for a server at one time.
+  // Requests of one rank that may wait for a server at one time.
   std::size_t max_waiting = 1000;
   // How long the answer to a claim may take.
   std::chrono::milliseconds claim_timeout{3000};
--- a/src/core/routing/entry_state.h
+++ b/src/core/routing/entry_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -23,7 +24,7 @@
         servers(options.choice),
         hints(options.choice.hint_blocks_per_server),
         chooser(options.choice, seed),
-        budget(options.retry),
+        budgets{RetryBudget(options.retry), RetryBudget(options.retry)},
         shares(options.default_share) {}
 
   EntryOptions options;
@@ -32,7 +33,8 @@
   ServerTable servers;
   PrefixHints hints;
   ServerChooser chooser;
-  RetryBudget budget;
+  // For each rank, so that a failing flood of one leaves the other its own.
+  std::array<RetryBudget, kRankCount> budgets;
   WorkspaceShares shares;
   RequestTable requests;
   bool stopping = false;
--- a/src/core/routing/request_dispatch.cc
+++ b/src/core/routing/request_dispatch.cc
@@ -15,10 +15,19 @@
   return std::max(milliseconds{0}, row.target.start_within - waited);
 }
 
-// Moves off a server that leaves are no sign of overload.
-bool IsPlannedMove(Reason reason) {
-  return reason == Reason::kServerDraining || reason == Reason::kStopping ||
-         reason == Reason::kReclaimMove;
+// Work that moves off a server which leaves, or which died before it ran any
+// of it, is done once all the same and multiplies no load.
+bool IsFreeMove(const DispatchFailure& failure) {
+  switch (failure.reason) {
+    case Reason::kServerDraining:
+    case Reason::kStopping:
+    case Reason::kReclaimMove:
+      return true;
+    case Reason::kServerLost:
+      return failure.refused;
+    default:
+      return false;
+  }
 }
 
 Choice ChooseServer(EntryState* state, const RequestRow& row, Time now) {
@@ -84,13 +93,13 @@
   const RetryOptions& options = state->options.retry;
   const bool known = !state->servers.Offering(row->call.service).empty();
   if (choice.overloaded || !known ||
-      state->requests.waiting() >= options.max_waiting) {
+      state->requests.Waiting(row->rank) >= options.max_waiting) {
     EndUnplaced(state, row, choice, now);
     return;
   }
   // A server that failed the request may come back meanwhile.
   row->avoid.clear();
-  state->requests.StartWaiting(*row);
+  state->requests.StartWaiting(row);
   state->requests.SetDeadline(
       row, now + std::min(options.server_wait, StartTimeLeft(*row, now)));
 }
@@ -123,8 +132,8 @@
   }
   // Whoever refused has counted it.
   if (!failure.refused) Count(state, *row, failure.reason);
-  const bool planned = IsPlannedMove(failure.reason);
-  if (!planned && !state->budget.Spend(now)) {
+  const bool free_move = IsFreeMove(failure);
+  if (!free_move && !state->budgets.at(RankIndex(row->rank)).Spend(now)) {
     EndWithProblem(state, row, Reason::kRetryBudgetSpent,
                    options.default_retry_after, now);
     return;
@@ -172,7 +181,7 @@
     } else if (choice.overloaded) {
       EndUnplaced(state, row, choice, now);
     } else {
-      state->requests.StartWaiting(*row);
+      state->requests.StartWaiting(row);
     }
   }
 }
--- a/src/core/routing/request_ending.cc
+++ b/src/core/routing/request_ending.cc
@@ -81,7 +81,7 @@
 
 void EndWhole(EntryState* state, RequestRow* row,
               const RequestCompleted& completed) {
-  state->budget.OnSuccess();
+  state->budgets.at(RankIndex(row->rank)).OnSuccess();
   if (!row->caller.gone) {
     state->effects.emplace_back(DeliverEnd{
         row->call.request, completed.finish_reason, completed.token_count});
@@ -97,7 +97,7 @@
 }
 
 void EndWithAnswer(EntryState* state, RequestRow* row, StoredAnswer answer) {
-  state->budget.OnSuccess();
+  state->budgets.at(RankIndex(row->rank)).OnSuccess();
   if (!row->caller.gone) {
     state->effects.emplace_back(DeliverAnswer{row->call.request, answer});
   }
--- a/src/core/routing/request_table.cc
+++ b/src/core/routing/request_table.cc
@@ -23,8 +23,12 @@
   const auto found = rows_.find(request);
   if (found == rows_.end()) return;
   due_.erase({found->second.indexed_at, request});
-  waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), request),
-                 waiting_.end());
+  if (found->second.waits) {
+    std::vector<RequestId>& waiting =
+        waiting_.at(RankIndex(found->second.rank));
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), request),
+                  waiting.end());
+  }
   rows_.erase(found);
 }
 
@@ -70,12 +74,21 @@
   return names;
 }
 
-void RequestTable::StartWaiting(const RequestRow& row) {
-  waiting_.push_back(row.call.request);
+void RequestTable::StartWaiting(RequestRow* row) {
+  row->waits = true;
+  waiting_.at(RankIndex(row->rank)).push_back(row->call.request);
 }
 
 std::vector<RequestId> RequestTable::TakeWaiting() {
-  return std::exchange(waiting_, {});
+  std::vector<RequestId> taken;
+  for (std::vector<RequestId>& waiting : waiting_) {
+    for (RequestId& request : waiting) {
+      rows_.at(request).waits = false;
+      taken.push_back(std::move(request));
+    }
+    waiting.clear();
+  }
+  return taken;
 }
 
 }  // namespace coltsfootfork
--- a/src/core/routing/request_table.h
+++ b/src/core/routing/request_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -59,6 +60,8 @@
   // Hand-overs without proof that they did not run.
   std::uint32_t unproved_dispatches = 0;
   KeptText kept;
+  // Whether the table has the row in its list of waiting requests.
+  bool waits = false;
   // When the present state lasts too long.
   Time deadline = Time::max();
   // The deadline or the caller's, whichever is first.
@@ -100,17 +103,21 @@
   // The names of the rows whose live generation is on the server, in order.
   std::vector<RequestId> OnServer(ServerIndex server) const;
 
-  void StartWaiting(const RequestRow& row);
-  // The waiting requests, first come first; the list starts anew.
+  void StartWaiting(RequestRow* row);
+  // The waiting requests, the most urgent first and then first come first;
+  // the list starts anew.
   std::vector<RequestId> TakeWaiting();
-  std::size_t waiting() const { return waiting_.size(); }
+  std::size_t Waiting(Rank rank) const {
+    return waiting_.at(RankIndex(rank)).size();
+  }
 
  private:
   void Index(RequestRow* row);
 
   std::map<RequestId, RequestRow> rows_;
   std::set<DueRequest> due_;
-  std::vector<RequestId> waiting_;
+  // For each rank, first come first.
+  std::array<std::vector<RequestId>, kRankCount> waiting_;
 };
 
 }  // namespace coltsfootfork
--- a/tests/core/routing/entry_reasons_test.cc
+++ b/tests/core/routing/entry_reasons_test.cc
@@ -216,11 +216,39 @@
   BOOST_TEST(cluster.counts[Reason::kRetriedBeforeFirstToken] == 6);
 }
 
-BOOST_AUTO_TEST_CASE(PlannedMovesSpendNoBudget) {
+BOOST_AUTO_TEST_CASE(FailingFloodLeavesTheOtherRankItsRetries) {
+  EntryOptions options = FakeCluster::DefaultOptions();
+  options.retry.budget_limit = 1.0;
+  options.retry.budget_per_second = 0.0;
+  FakeCluster cluster(2, 1, options);
+  for (int i = 0; i < 20; ++i) {
+    cluster.Input(FakeCluster::Generation("r" + std::to_string(i)));
+  }
+  cluster.Input(FakeCluster::PlainCall("z", "GET"));
+  cluster.LinkDown(cluster.HolderOf("z"));
+  BOOST_TEST(cluster.counts[Reason::kRetryBudgetSpent] > 0);
+  BOOST_TEST(cluster.Caller("z").finals == 0);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentRequestsGetTheFirstServerThatIsBack) {
+  EntryOptions options = FakeCluster::DefaultOptions();
+  options.retry.max_waiting = 1;
+  FakeCluster cluster(1, 1, options);
+  cluster.LinkDown(ProcessId("agent0"));
+  cluster.Input(FakeCluster::Generation("early"));
+  cluster.Input(FakeCluster::Generation("too many"));
+  cluster.Input(FakeCluster::PlainCall("a", "GET"));
+  BOOST_TEST(cluster.Caller("too many").finals == 1);
+  cluster.LinkUp(ProcessId("agent0"));
+  BOOST_TEST(cluster.AgentOf("a").taken() ==
+             (std::vector<RequestId>{kA, RequestId("early")}));
+}
+
+BOOST_AUTO_TEST_CASE(FreeMovesSpendNoBudget) {
   EntryOptions options = FakeCluster::DefaultOptions();
   options.retry.budget_limit = 0.0;
-  for (const Reason reason :
-       {Reason::kServerDraining, Reason::kStopping, Reason::kReclaimMove}) {
+  for (const Reason reason : {Reason::kServerLost, Reason::kServerDraining,
+                              Reason::kStopping, Reason::kReclaimMove}) {
     FakeCluster cluster(2, 1, options);
     cluster.Input(FakeCluster::Generation("a"));
     cluster.AgentOf("a").Refuse(kA, reason);
--- a/tests/core/routing/fake_agent.h
+++ b/tests/core/routing/fake_agent.h
@@ -41,6 +41,7 @@
       return;
     }
     const auto& dispatch = std::get<Dispatch>(message);
+    taken_.push_back(dispatch.request);
     if (dispatch.first_index == 0) {
       runs_at_server_[dispatch.request] = {dispatch, false, 0};
     } else {
@@ -140,6 +141,8 @@
     for (const auto& [name, run] : runs_at_server_) names.push_back(name);
     return names;
   }
+  // All hand-overs so far, in order.
+  const std::vector<RequestId>& taken() const { return taken_; }
   bool Holds(const RequestId& request) const {
     return runs_at_server_.count(request) > 0;
   }
@@ -179,6 +182,7 @@
   std::uint64_t incarnation_ = 1;
   std::map<RequestId, FakeRun> runs_at_server_;
   std::deque<AgentToEntry> outbox_;
+  std::vector<RequestId> taken_;
 };
 
 }  // namespace coltsfootfork::testing
