scheduling: Keep the batch of a server that is late with any batch

Cause: where the gap between tokens is above the promise whatever the batch, the bound fell to 2 and cost tokens without helping anyone. Change: when a batch smaller by a fifth leaves the gap as it was, the bound goes back and grows for 30 s. The cost bench also gives the memory of a running request and of a served workspace.

--- a/bench/scheduling/decision_cost.cc
+++ b/bench/scheduling/decision_cost.cc
@@ -39,8 +39,9 @@
 
 std::size_t HeapBytes() { return mallinfo2().uordblks; }
 
-AgentOptions LargeQueue() {
+AgentOptions LargeQueue(const AdmissionPolicy& admission) {
   AgentOptions options;
+  options.policy.admission = admission;
   options.queue = {1'000'000, 1'000'000};
   return options;
 }
@@ -48,8 +49,12 @@
 // An agent with a full batch and a number of waiting requests.
 class LoadedAgent {
  public:
-  explicit LoadedAgent(int workspaces)
-      : workspaces_(workspaces), agent_(LargeQueue(), 1) {
+  explicit LoadedAgent(
+      int workspaces, std::uint32_t batch = kBatch,
+      const AdmissionPolicy& admission = AdmitByPredictedPeak{})
+      : workspaces_(workspaces),
+        batch_(batch),
+        agent_(LargeQueue(admission), 1) {
     const auto configuration = std::make_shared<Configuration>();
     for (int i = 0; i < workspaces; ++i) {
       Workspace workspace;
@@ -123,7 +128,7 @@
     announced.incarnation = 1;
     announced.services = {ServiceId("model")};
     announced.memory_tokens = 1'000'000;
-    announced.max_batch = kBatch;
+    announced.max_batch = batch_;
     Give(EngineMessage{announced});
   }
   void Give(const AgentInput& input) { Follow(agent_.Handle(input, now_)); }
@@ -139,6 +144,7 @@
   }
 
   int workspaces_;
+  std::uint32_t batch_;
   AgentCore agent_;
   Time now_{std::chrono::seconds(1)};
   int count_ = 0;
@@ -167,6 +173,19 @@
               Median(token), Median(tick));
 }
 
+// Starts that many requests of as many workspaces and ends them all.
+void PrintRunningMemory() {
+  constexpr int kRunning = 1700;
+  LoadedAgent agent(kRunning, kRunning, AdmitUntilFull{});
+  const std::size_t idle = HeapBytes();
+  agent.Enqueue(kRunning);
+  std::printf("running request, with the bench's own note of it: %zu bytes\n",
+              (HeapBytes() - idle) / kRunning);
+  for (int i = 0; i < kRunning; ++i) agent.TimeCompletion();
+  std::printf("workspace that has been served: %zu bytes\n",
+              (HeapBytes() - idle) / kRunning);
+}
+
 void PrintMemory() {
   constexpr int kQueued = 10000;
   LoadedAgent agent(10);
@@ -184,6 +203,7 @@
   std::printf("idle agent with 10 workspaces: %zu bytes\n", ten);
   std::printf("each further workspace, configured: %zu bytes\n",
               (more - ten) / 1700);
+  PrintRunningMemory();
 }
 
 }  // namespace
--- a/src/core/scheduling/batch_bound.cc
+++ b/src/core/scheduling/batch_bound.cc
@@ -19,6 +19,13 @@
 constexpr double kDecrease = 0.96;
 // The bound grows only while this much of it is in use.
 constexpr double kUsed = 0.8;
+// A batch this much smaller should have made the gap smaller than this much of
+// what it was, else it is not the batch that makes gaps late.
+constexpr double kProbedBatch = 0.8;
+constexpr double kUnchangedGap = 0.95;
+// How long the bound then grows instead, and by how much in each window.
+constexpr std::chrono::seconds kPatience{30};
+constexpr double kGrowthInVain = 1.05;
 constexpr double kSlowStartGrowth = 1.5;
 // How long after its last urgent request a server keeps to urgent gaps.
 constexpr std::chrono::seconds kUrgentMemory{30};
@@ -50,6 +57,7 @@
 
 void BatchBound::CountGap(Duration gap) {
   ++gaps_;
+  gap_sum_ += static_cast<double>(gap.count());
   if (gap > Target()) ++late_gaps_;
 }
 
@@ -59,21 +67,46 @@
   }
   most_running_ = std::max(most_running_, running);
   if (now - window_ < kWindow || gaps_ < kFewestGaps) return;
-  CloseWindow(most_running_);
+  CloseWindow(most_running_, now);
   window_ = now;
   gaps_ = 0;
   late_gaps_ = 0;
+  gap_sum_ = 0;
   most_running_ = running;
 }
 
-void BatchBound::CloseWindow(std::uint32_t running) {
+bool BatchBound::DecreaseIsInVain(std::uint32_t running,
+                                  double mean_gap) const {
+  return probe_ && running <= kProbedBatch * probe_->running &&
+         mean_gap > kUnchangedGap * probe_->mean_gap;
+}
+
+void BatchBound::Decrease(std::uint32_t running, double mean_gap, Time now) {
+  if (DecreaseIsInVain(running, mean_gap)) {
+    limit_ = probe_->running;
+    in_vain_until_ = now + kPatience;
+    probe_.reset();
+    return;
+  }
+  const bool begins = !probe_ || running <= kProbedBatch * probe_->running;
+  if (begins) probe_ = Probe{running, mean_gap};
+  slow_start_ = false;
+  // The running requests go on: only a bound below them helps.
+  limit_ = std::min<double>(limit_, running) * kDecrease;
+}
+
+void BatchBound::CloseWindow(std::uint32_t running, Time now) {
   const double late = static_cast<double>(late_gaps_) / gaps_;
-  if (late > kLateShare) {
-    slow_start_ = false;
-    // The running requests go on: only a bound below them helps.
-    limit_ = std::min<double>(limit_, running) * kDecrease;
-  } else if (late < kGoodShare && running >= kUsed * limit_) {
-    limit_ = slow_start_ ? limit_ * kSlowStartGrowth : limit_ + 1;
+  const bool used = running >= kUsed * limit_;
+  if (late > kLateShare && now >= in_vain_until_) {
+    Decrease(running, gap_sum_ / gaps_, now);
+  } else if (late > kLateShare) {
+    if (used) limit_ *= kGrowthInVain;
+  } else {
+    probe_.reset();
+    if (late < kGoodShare && used) {
+      limit_ = slow_start_ ? limit_ * kSlowStartGrowth : limit_ + 1;
+    }
   }
   limit_ = std::clamp(limit_, kSmallestLimit, most_);
 }
--- a/src/core/scheduling/batch_bound.h
+++ b/src/core/scheduling/batch_bound.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "coltsfootfork/core/types/rank.h"
 #include "coltsfootfork/core/types/time.h"
@@ -11,7 +12,9 @@
 // How many requests may run at once, so that the gaps between tokens keep to
 // the promise of the strictest rank that has had work lately. Additive
 // increase, multiplicative decrease on the share of gaps above the promise:
-// this needs no model of how the gap grows with batch, context and prefill.
+// this needs no model of how the gap grows with batch, context and prefill. A
+// server whose gaps do not shrink with its batch keeps its batch: a smaller one
+// would cost tokens and help nobody.
 class BatchBound {
  public:
   BatchBound();
@@ -33,7 +36,16 @@
 
  private:
   Duration Target() const;
-  void CloseWindow(std::uint32_t running);
+  // Where the present series of decreases began.
+  struct Probe {
+    std::uint32_t running = 0;
+    double mean_gap = 0;
+  };
+
+  void CloseWindow(std::uint32_t running, Time now);
+  void Decrease(std::uint32_t running, double mean_gap, Time now);
+  // Whether a clearly smaller batch has left the gap as it was.
+  bool DecreaseIsInVain(std::uint32_t running, double mean_gap) const;
 
   std::array<Duration, kRankCount> targets_{};
   double limit_;
@@ -44,7 +56,11 @@
   Time window_;
   std::uint32_t gaps_ = 0;
   std::uint32_t late_gaps_ = 0;
+  double gap_sum_ = 0;
   std::uint32_t most_running_ = 0;
+  std::optional<Probe> probe_;
+  // Until when a late gap is no reason to decrease.
+  Time in_vain_until_;
 };
 
 }  // namespace coltsfootfork
--- a/tests/core/scheduling/bounds_test.cc
+++ b/tests/core/scheduling/bounds_test.cc
@@ -63,6 +63,25 @@
   BOOST_TEST(bound.Limit() < 60);
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatIsLateWithAnyBatchKeepsItsBatch) {
+  BatchBound bound;
+  bound.SetTarget(Rank::kUrgent, milliseconds(27));
+  bound.SetTarget(Rank::kDeferrable, milliseconds(27));
+  bound.SetMost(64);
+  Time now;
+  double least = 64;
+  for (int i = 0; i < 6000; ++i) {
+    const auto running = static_cast<std::uint32_t>(bound.Limit());
+    for (std::uint32_t n = 0; n < running; ++n) {
+      bound.CountGap(milliseconds(40));
+    }
+    bound.Observe(running, now);
+    now += milliseconds(20);
+    if (i > 4000) least = std::min(least, bound.Limit());
+  }
+  BOOST_TEST(least > 40);
+}
+
 Configuration Limited(WorkspaceLimits limits) {
   Workspace workspace;
   workspace.id = WorkspaceId("w");
