scheduling: Never run a non-idempotent call under a second generation

Cause: a newer generation stopped the running one and ran again, also for a call that may not be repeated; a repeated dispatch ran after its first was told as not run. Change: after a possible run a non-idempotent request is taken under no generation; refused attempts are remembered apart from those that ran. Ruled out: refusing the newer one, since the entry would take that as proof and try elsewhere.

--- a/src/core/scheduling/agent_state.h
+++ b/src/core/scheduling/agent_state.h
@@ -52,7 +52,10 @@
   std::set<ProcessId> entries;
   RequestQueue queue;
   RunningTable running;
+  // Attempts that were handed over and may have run.
   EndedAttempts ended;
+  // Attempts that entries were told not to have run.
+  EndedAttempts refused;
   Admission admission;
   LengthPredictor lengths;
   WorkspaceLimiter limiter;
--- a/src/core/scheduling/ended_attempts.h
+++ b/src/core/scheduling/ended_attempts.h
@@ -8,8 +8,8 @@
 
 namespace coltsfootfork {
 
-// The attempts that were handed over and have ended, newest kept, so that a
-// dispatch that comes twice does not run twice.
+// Attempts that have ended, newest kept, so that a dispatch that comes twice
+// does not run twice, nor after it was told not to have run.
 class EndedAttempts {
  public:
   void Remember(const RequestId& request, Generation generation);
@@ -18,6 +18,10 @@
   // resume goes on with the newest generation and is neither.
   bool IsRepeat(const Dispatch& dispatch) const;
 
+  bool Contains(const RequestId& request) const {
+    return generations_.count(request) > 0;
+  }
+
   static constexpr std::size_t kMost = 4096;
 
  private:
--- a/src/core/scheduling/endings.cc
+++ b/src/core/scheduling/endings.cc
@@ -12,9 +12,10 @@
 
 }  // namespace
 
-void RefuseDispatch(AgentState& /*state*/, const ProcessId& entry,
+void RefuseDispatch(AgentState& state, const ProcessId& entry,
                     const Dispatch& dispatch, Reason reason,
                     std::chrono::milliseconds retry_after, Effects& effects) {
+  state.refused.Remember(dispatch.request, dispatch.generation);
   effects.Count(reason, dispatch.rank, dispatch.service);
   effects.ToEntry(entry, RequestRefused{dispatch.request, dispatch.generation,
                                         reason, retry_after});
@@ -42,7 +43,8 @@
   request.charged_tokens += kChargeStep;
 }
 
-void ForgetRunning(AgentState& state, const RunningRequest& request) {
+void ForgetRunning(AgentState& state, const RunningRequest& request,
+                   RunProof proof) {
   const double made = request.kind == RequestKind::kGeneration
                           ? request.made()
                           : request.charged_tokens;
@@ -51,7 +53,9 @@
   if (request.kind == RequestKind::kGeneration) {
     state.limiter.EndStream(request.workspace);
   }
-  state.ended.Remember(request.request, request.generation);
+  EndedAttempts& attempts =
+      proof == RunProof::kDidNotRun ? state.refused : state.ended;
+  attempts.Remember(request.request, request.generation);
   state.running.Remove(RequestId(request.request));
 }
 
--- a/src/core/scheduling/endings.h
+++ b/src/core/scheduling/endings.h
@@ -28,9 +28,13 @@
 // Charges the workspace for tokens beyond what it was charged at the start.
 void ChargeBeyondEstimate(AgentState& state, RunningRequest& request);
 
+// What is known of a request that no longer runs.
+enum class RunProof : std::uint8_t { kMayHaveRun = 0, kDidNotRun };
+
 // Takes an ended request out of the tables and corrects its workspace's
 // charge to the tokens made.
-void ForgetRunning(AgentState& state, const RunningRequest& request);
+void ForgetRunning(AgentState& state, const RunningRequest& request,
+                   RunProof proof = RunProof::kMayHaveRun);
 
 // Ends a running request as interrupted and tells its entry.
 void Interrupt(AgentState& state, const RunningRequest& request,
--- a/src/core/scheduling/engine_events.cc
+++ b/src/core/scheduling/engine_events.cc
@@ -62,7 +62,7 @@
   effects_.ToEntry(running.entry,
                    RequestRefused{running.request, running.generation, reason,
                                   std::chrono::milliseconds(0)});
-  ForgetRunning(state_, running);
+  ForgetRunning(state_, running, RunProof::kDidNotRun);
 }
 
 void EngineEvents::MeasureGap(const RunningRequest& running) {
--- a/src/core/scheduling/intake.cc
+++ b/src/core/scheduling/intake.cc
@@ -32,8 +32,15 @@
     return waiting->dispatch.generation >= dispatch.generation;
   }
   const RunningRequest* running = state.running.Find(dispatch.request);
-  if (running != nullptr) return running->generation >= dispatch.generation;
-  return state.ended.IsRepeat(dispatch);
+  if (running != nullptr) {
+    return running->non_idempotent ||
+           running->generation >= dispatch.generation;
+  }
+  // What may not be repeated has no second generation after a possible run.
+  if (dispatch.non_idempotent && state.ended.Contains(dispatch.request)) {
+    return true;
+  }
+  return state.ended.IsRepeat(dispatch) || state.refused.IsRepeat(dispatch);
 }
 
 void DropWaiting(AgentState& state, const RequestId& request) {
--- a/tests/core/scheduling/agent_core_test.cc
+++ b/tests/core/scheduling/agent_core_test.cc
@@ -75,6 +75,48 @@
   BOOST_TEST(agent.Started() == "r1 r1");
 }
 
+Dispatch Sale(Generation generation) {
+  Dispatch sale = AgentHarness::Work("sale");
+  sale.kind = RequestKind::kPlainCall;
+  sale.non_idempotent = true;
+  sale.generation = generation;
+  return sale;
+}
+
+BOOST_AUTO_TEST_CASE(ANonIdempotentCallRunsOnceUnderWhateverGeneration) {
+  AgentHarness agent;
+  agent.Serve();
+  agent.Send(Sale(1));
+  agent.Send(Sale(2));
+  agent.Complete("sale", 0);
+  agent.Send(Sale(3));
+  BOOST_TEST(agent.Started() == "sale");
+  BOOST_TEST(agent.AtEngine<EngineCancel>().empty());
+  BOOST_TEST(agent.AtEntry<RequestCompleted>().size() == 1U);
+  BOOST_TEST(agent.AtEntry<RequestRefused>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ANonIdempotentCallThatDidNotRunMayComeAgainAsNew) {
+  AgentHarness agent;
+  agent.Serve();
+  agent.Send(Sale(1));
+  agent.Engine(EngineRefused{RequestId("sale"), 1});
+  agent.Send(Sale(1));
+  BOOST_TEST(agent.Started() == "sale");
+  agent.Send(Sale(2));
+  BOOST_TEST(agent.Started() == "sale sale");
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasRefusedNeverRunsLater) {
+  AgentHarness agent;
+  agent.Configure();
+  agent.Send(AgentHarness::Work("r1"));
+  BOOST_TEST(agent.AtEntry<RequestRefused>().size() == 1U);
+  agent.Serve();
+  agent.Send(AgentHarness::Work("r1"));
+  BOOST_TEST(agent.Started().empty());
+}
+
 BOOST_AUTO_TEST_CASE(CancelReachesTheEngineAndTheQueue) {
   AgentHarness agent;
   agent.announced.max_batch = 1;
