--- a/src/cli/help_pages.cc
+++ b/src/cli/help_pages.cc
@@ -14,6 +14,7 @@
   check    Checks a settings or configuration file.
   apply    Replaces the configuration in force.
   diff     Shows what a configuration file would change.
+  replay   Checks a recorded trace against stated outcomes.
   status   Shows every process and what it has in force.
   version  Prints the version.
 
@@ -31,11 +32,13 @@
     R"(Runs one process of the system until it is told to stop.
 
 Usage:
-  coltsfootfork run --settings <file>
+  coltsfootfork run --settings <file> [--record <trace>] [--record-bodies]
   coltsfootfork run --help
 
 Options:
   --settings <file>  The settings of this process, in JSON.
+  --record <trace>   Record what the entry takes in and does, for replay.
+  --record-bodies    Record bodies and texts whole; else length and digest.
 
 The first line on standard output is a JSON object with every address in use.
 The log goes to standard error. SIGTERM starts a planned stop: running requests
@@ -89,6 +92,20 @@
 The exit code is 0 when nothing differs and 1 when something does.
 )";
 
+const char kReplayHelp[] =
+    R"(Runs the decision core over a recorded trace and checks what must hold.
+
+Usage:
+  coltsfootfork replay <trace> [--expect <file>]
+  coltsfootfork replay --help
+
+Options:
+  --expect <file>  Stated outcomes, in JSON; docs/design/replay.md lists them.
+
+Every finding is printed with its line of the trace or with its JSON pointer
+into the outcomes. The exit code is 0 when there is none and 1 otherwise.
+)";
+
 const char kStatusHelp[] =
     R"(Shows every process: roles, zone, revision in force, lease and server.
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -20,7 +20,7 @@
 constexpr NamedCommand kCommands[] = {
     {"run", ExecuteRun},         {"check", ExecuteCheck},
     {"apply", ExecuteApply},     {"diff", ExecuteDiff},
-    {"status", ExecuteStatus},  
+    {"replay", ExecuteReplay},   {"status", ExecuteStatus},
     {"version", ExecuteVersion},
 };
 
--- a/src/core/replication/election.cc
+++ b/src/core/replication/election.cc
@@ -1,15 +1,27 @@
 #include "core/replication/election.h"
 
-#include <algorithm>
+#include "core/replication/quorum.h"
 
 namespace coltsfootfork {
+namespace {
+
+// A learner campaigns only after the voters have tried for so many election
+// minimums. It must, where it alone has the latest entries, and the voters may
+// not elect one that lacks them.
+constexpr int kLearnerDelayMinimums = 4;
+
+}  // namespace
 
 bool Election::Tick(Time now) {
-  if (now < state_.election_due) return false;
   const ReplicaRole role = state_.role();
-  const bool campaigns = role == ReplicaRole::kFollower ||
-                         role == ReplicaRole::kPreCandidate ||
-                         role == ReplicaRole::kCandidate;
+  Time due = state_.election_due;
+  if (role == ReplicaRole::kLearner) {
+    due += kLearnerDelayMinimums * state_.options.election_minimum;
+  }
+  if (now < due) return false;
+  const bool campaigns =
+      role == ReplicaRole::kLearner || role == ReplicaRole::kFollower ||
+      role == ReplicaRole::kPreCandidate || role == ReplicaRole::kCandidate;
   if (!campaigns) return false;
   StartPreVote(now);
   return Count(now);
@@ -38,7 +50,7 @@
 
 void Election::AskVoters(const VoteRequest& request) {
   for (const Member& member : state_.log.membership().members) {
-    if (!member.voter || member.id == state_.self) continue;
+    if (!member.IsVoter() || member.id == state_.self) continue;
     state_.SendSynced(member.id, request);
   }
 }
@@ -108,11 +120,9 @@
 }
 
 bool Election::HasQuorum() const {
-  const Membership& membership = state_.log.membership();
-  const auto votes = static_cast<std::size_t>(std::count_if(
-      granted_.begin(), granted_.end(),
-      [&](const ReplicaId& id) { return membership.IsVoter(id); }));
-  return votes >= membership.Quorum();
+  return IsQuorum(state_.log.membership(), [&](const Member& member) {
+    return granted_.count(member.id) != 0;
+  });
 }
 
 }  // namespace coltsfootfork
--- a/src/core/replication/role_machine.cc
+++ b/src/core/replication/role_machine.cc
@@ -39,31 +39,28 @@
   using initial_state = Blank;
 
   // MSM numbers the states in the order of their first mention.
-  struct transition_table
-      : boost::mpl::vector<
-            // clang-format off
+  using transition_table = boost::mpl::vector<
+      // clang-format off
             Move<Blank, BecameLearner, Learner>,
             Move<Blank, BecameVoter, Follower>,
             Move<Learner, BecameVoter, Follower>,
             Move<Follower, BecameLearner, Learner>,
             Move<Follower, ElectionDue, PreCandidate>,
+            Move<Learner, ElectionDue, PreCandidate>,
             Move<PreCandidate, PreVoteWon, Candidate>,
             Move<PreCandidate, SteppedDown, Follower>,
-            Move<PreCandidate, BecameLearner, Learner>,
             Move<Candidate, ElectionDue, PreCandidate>,
             Move<Candidate, VoteWon, Leader>,
             Move<Candidate, SteppedDown, Follower>,
-            Move<Candidate, BecameLearner, Learner>,
             Move<Leader, SteppedDown, Follower>,
-            Move<Leader, BecameLearner, Learner>,
             Move<Blank, DiskFailed, Halted>,
             Move<Learner, DiskFailed, Halted>,
             Move<Follower, DiskFailed, Halted>,
             Move<PreCandidate, DiskFailed, Halted>,
             Move<Candidate, DiskFailed, Halted>,
             Move<Leader, DiskFailed, Halted>
-            // clang-format on
-            > {};
+      // clang-format on
+      >;
 
   template <typename Machine, typename Event>
   void no_transition(const Event& /*event*/, Machine& /*machine*/,
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -41,7 +41,7 @@
 }  // namespace
 
 const std::vector<EventInfo>& AllEvents() {
-  static const std::vector<EventInfo> kEvents = {
+  static const std::vector<EventInfo> events = {
       {Event::kStarted, "started"},
       {Event::kListening, "listening"},
       {Event::kStopping, "stopping"},
@@ -68,7 +68,7 @@
       {Event::kSnapshotTaken, "snapshot_taken"},
       {Event::kReplicaChanged, "replica_changed"},
   };
-  return kEvents;
+  return events;
 }
 
 std::string_view EventName(Event event) {
--- a/src/shell/process/agent_role.cc
+++ b/src/shell/process/agent_role.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coltsfootfork/core/scheduling/inventory_view.h"
 #include "shell/log/event.h"
 #include "shell/net/ip_address.h"
 
@@ -28,27 +29,36 @@
 AgentRole::AgentRole(ProcessContext& context, std::uint64_t seed)
     : context_(context),
       core_(MakeOptions(context.settings), seed),
+      metrics_(context.metrics),
       adapter_(
           context.io, MakeAdapterOptions(context.settings),
           [this](EngineToAgent message) {
             OnEngineMessage(std::move(message));
           },
-          [](const Finding& finding) {
+          [this](const Finding& finding) {
+            context_.metrics.Add(Counter::kInputFindings);
             Log(LogLevel::kWarning, Event::kServerFinding,
                 {{"place", finding.place}, {"problem", finding.problem}});
           }) {}
 
 void AgentRole::OnEntryUp(const ProcessId& entry) { Input(EntryUp{entry}); }
 
-void AgentRole::OnEntryDown(const ProcessId& entry) { Input(EntryDown{entry}); }
+void AgentRole::OnEntryDown(const ProcessId& entry) {
+  metrics_.OnEntryDown(entry);
+  Input(EntryDown{entry});
+}
 
 void AgentRole::OnEntryMessage(const ProcessId& entry, EntryToAgent message) {
-  Input(EntryMessage{entry, std::move(message)});
+  const EntryMessage input{entry, std::move(message)};
+  metrics_.OnEntryMessage(input, MonotonicNow());
+  Input(input);
 }
 
 void AgentRole::OnConfiguration(
     std::shared_ptr<const Configuration> configuration) {
+  configuration_ = configuration;
   Input(ConfigurationInForce{std::move(configuration)});
+  if (!server_.server.empty()) Input(EngineMessage{AllowedServer()});
 }
 
 void AgentRole::Tick(Time now) { CarryOut(core_.Tick(now)); }
@@ -63,41 +73,53 @@
   renewal.server = server_.server;
   renewal.services = server_.services;
   renewal.server_incarnation = server_.incarnation;
-  renewal.draining = stopping_ || server_.leaving;
+  renewal.draining = stopping_ || AllowedServer().leaving;
 }
 
 void AgentRole::OnEngineMessage(EngineToAgent message) {
   if (const auto* announced = std::get_if<EngineAnnounced>(&message)) {
-    if (announced->server != server_.server ||
-        announced->incarnation != server_.incarnation) {
-      Log(LogLevel::kInfo, Event::kServerAnnounced,
-          {{"server", announced->server.value()},
-           {"incarnation", std::to_string(announced->incarnation)}});
-    }
-    if (announced->leaving && !server_.leaving) {
-      Log(LogLevel::kInfo, Event::kServerDraining,
-          {{"server", announced->server.value()}});
-    }
-    server_ = *announced;
+    OnAnnouncement(*announced);
+    message = AllowedServer();
   }
+  metrics_.OnEngineMessage(message);
   Input(EngineMessage{std::move(message)});
 }
 
+void AgentRole::OnAnnouncement(const EngineAnnounced& announced) {
+  if (announced.server != server_.server ||
+      announced.incarnation != server_.incarnation) {
+    Log(LogLevel::kInfo, Event::kServerAnnounced,
+        {{"server", announced.server.value()},
+         {"incarnation", std::to_string(announced.incarnation)}});
+  }
+  if (announced.leaving && !server_.leaving) {
+    Log(LogLevel::kInfo, Event::kServerDraining,
+        {{"server", announced.server.value()}});
+  }
+  server_ = announced;
+}
+
+EngineAnnounced AgentRole::AllowedServer() const {
+  return configuration_ ? AsInventoryAllows(server_, *configuration_) : server_;
+}
+
 void AgentRole::Input(const AgentInput& input) {
   CarryOut(core_.Handle(input, MonotonicNow()));
 }
 
-void AgentRole::CarryOut(std::vector<AgentEffect> effects) {
+void AgentRole::CarryOut(const std::vector<AgentEffect>& effects) {
   for (const AgentEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
 }
 
 void AgentRole::CarryOut(const SendToEntry& effect) {
+  metrics_.OnEffect(effect);
   context_.hub.Send(effect.entry, LinkDirection::kIncoming, effect.message);
 }
 
 void AgentRole::CarryOut(const SendToEngine& effect) {
+  metrics_.OnEffect(effect, MonotonicNow());
   adapter_.Send(effect.message);
 }
 
--- a/src/shell/process/agent_role.h
+++ b/src/shell/process/agent_role.h
@@ -9,6 +9,7 @@
 #include "coltsfootfork/adapters/http_engine_adapter.h"
 #include "coltsfootfork/core/messages/agent_io.h"
 #include "coltsfootfork/core/scheduling/agent_core.h"
+#include "shell/process/agent_metrics.h"
 #include "shell/process/process_context.h"
 
 namespace coltsfootfork {
@@ -39,16 +40,25 @@
 
  private:
   void Input(const AgentInput& input);
-  void CarryOut(std::vector<AgentEffect> effects);
+  void CarryOut(const std::vector<AgentEffect>& effects);
   void CarryOut(const SendToEntry& effect);
   void CarryOut(const SendToEngine& effect);
   void CarryOut(const OrderSettled& effect);
   void CarryOut(const CountReason& effect);
   void OnEngineMessage(EngineToAgent message);
+  void OnAnnouncement(const EngineAnnounced& announced);
+  // The last announcement as the inventory allows it.
+  EngineAnnounced AllowedServer() const;
 
   ProcessContext& context_;
   AgentCore core_;
+<<<<<<< HEAD
+  // What the server says of itself, and what the inventory makes of it.
+=======
+  AgentMetrics metrics_;
+>>>>>>> standin
   EngineAnnounced server_;
+  std::shared_ptr<const Configuration> configuration_;
   bool stopping_ = false;
   HttpEngineAdapter adapter_;
 };
--- a/src/shell/process/control_role.cc
+++ b/src/shell/process/control_role.cc
@@ -165,7 +165,7 @@
   handling_ = false;
 }
 
-void ControlRole::CarryOut(std::vector<ReplicaEffect> effects) {
+void ControlRole::CarryOut(const std::vector<ReplicaEffect>& effects) {
   for (const ReplicaEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coltsfootfork/core/routing/agent_subset.h"
 #include "coltsfootfork/core/stream/stored_generation.h"
 #include "shell/log/event.h"
 #include "shell/net/ip_address.h"
@@ -40,13 +41,30 @@
                       std::to_string(seed) + "-"),
       server_(context.io, ParseEndpoint(context.settings.entry->listen).value(),
               HttpLimits{},
+<<<<<<< HEAD
+              [this](const HttpRequest& http,
+                     std::shared_ptr<HttpExchange> exchange) {
+                OnRequest(http, std::move(exchange));
+              }) {}
+=======
               [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
                 OnRequest(std::move(http), std::move(exchange));
-              }) {}
+              }) {
+  if (context.settings.record_path.empty()) return;
+  trace_ = std::make_unique<TraceFile>(
+      context.settings.record_path,
+      TraceHeader{MakeOptions(context.settings), seed,
+                  context.settings.record_bodies});
+}
+>>>>>>> standin
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
 
-void EntryRole::OnAgentDown(const ProcessId& agent) { Input(AgentDown{agent}); }
+void EntryRole::OnAgentDown(const ProcessId& agent) {
+  Input(AgentDown{agent});
+  // A link outside the subset stays only as long as it carries streams.
+  if (agents_.count(agent) == 0) context_.hub.Drop(agent);
+}
 
 void EntryRole::OnAgentMessage(const ProcessId& agent, AgentToEntry message) {
   Input(AgentMessage{agent, std::move(message)});
@@ -58,26 +76,25 @@
 }
 
 void EntryRole::OnDirectory(const std::vector<DirectoryAgent>& directory) {
-  std::set<ProcessId> listed;
-  for (const DirectoryAgent& agent : directory) {
-    listed.insert(agent.process);
+  const std::vector<DirectoryAgent> subset = ChooseAgentSubset(
+      directory, context_.settings.process, context_.settings.zone);
+  agents_.clear();
+  for (const DirectoryAgent& agent : subset) {
     agents_.insert(agent.process);
     context_.hub.Keep(agent.process, agent.address);
   }
-  Input(DirectoryChanged{directory});
-  for (auto it = agents_.begin(); it != agents_.end();) {
-    if (listed.count(*it) > 0) {
-      ++it;
-      continue;
-    }
-    // A link that still carries streams ends with them, by the agent's hand.
-    it = agents_.erase(it);
-  }
+  Input(DirectoryChanged{subset});
 }
 
 void EntryRole::Tick(Time now) {
   ReportBacklogs();
-  CarryOut(core_.Tick(now));
+  context_.metrics.Set(Gauge::kOpenRequests, core_.open_requests());
+  const bool due = core_.NextDeadline() && *core_.NextDeadline() <= now;
+  std::vector<EntryEffect> effects = core_.Tick(now);
+  if (trace_ && (due || !effects.empty())) {
+    trace_->recorder().OnTick(effects, now);
+  }
+  CarryOut(std::move(effects));
 }
 
 void EntryRole::Stop() {
@@ -90,7 +107,7 @@
   return core_.Drained() && callers_.empty() && open_settles_ == 0;
 }
 
-void EntryRole::OnRequest(HttpRequest http,
+void EntryRole::OnRequest(const HttpRequest& http,
                           std::shared_ptr<HttpExchange> exchange) {
   const auto& rules = context_.follower.rules();
   if (!rules) {
@@ -152,10 +169,13 @@
 }
 
 void EntryRole::Input(const EntryInput& input) {
-  CarryOut(core_.Handle(input, MonotonicNow()));
+  const Time now = MonotonicNow();
+  std::vector<EntryEffect> effects = core_.Handle(input, now);
+  if (trace_) trace_->recorder().OnInput(input, effects, now);
+  CarryOut(std::move(effects));
 }
 
-void EntryRole::CarryOut(std::vector<EntryEffect> effects) {
+void EntryRole::CarryOut(const std::vector<EntryEffect>& effects) {
   for (const EntryEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
--- a/src/shell/process/entry_role.h
+++ b/src/shell/process/entry_role.h
@@ -14,6 +14,7 @@
 #include "shell/net/http_server.h"
 #include "shell/process/caller_answer.h"
 #include "shell/process/process_context.h"
+#include "shell/process/trace_file.h"
 
 namespace coltsfootfork {
 
@@ -57,14 +58,15 @@
     std::uint64_t reported_backlog = 0;
   };
 
-  void OnRequest(HttpRequest http, std::shared_ptr<HttpExchange> exchange);
+  void OnRequest(const HttpRequest& http,
+                 std::shared_ptr<HttpExchange> exchange);
   void Admit(ReadCallerRequest read, std::shared_ptr<HttpExchange> exchange);
   void Refuse(HttpExchange& exchange, Reason reason, std::string detail,
               std::chrono::milliseconds retry_after);
   RequestId NextRequestId();
 
   void Input(const EntryInput& input);
-  void CarryOut(std::vector<EntryEffect> effects);
+  void CarryOut(const std::vector<EntryEffect>& effects);
   void CarryOut(const SendToAgent& effect);
   void CarryOut(const DeliverToken& effect);
   void CarryOut(const DeliverEnd& effect);
@@ -78,10 +80,12 @@
 
   ProcessContext& context_;
   EntryCore core_;
+  // Null unless decisions are recorded.
+  std::unique_ptr<TraceFile> trace_;
   std::string request_prefix_;
   std::uint64_t next_request_ = 1;
   std::map<RequestId, Caller> callers_;
-  // Agents that the directory lists.
+  // The directory's agents that this entry keeps links to.
   std::set<ProcessId> agents_;
   std::uint32_t open_settles_ = 0;
   bool stopping_ = false;
--- a/tests/core/replication/cluster.cc
+++ b/tests/core/replication/cluster.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-Cluster::Cluster(std::size_t nodes, std::vector<std::size_t> seeds,
+Cluster::Cluster(std::size_t nodes, const std::vector<std::size_t>& seeds,
                  const ReplicaOptions& options, std::uint64_t seed)
     : options_(options), random_(seed) {
   for (std::size_t i = 0; i < nodes; ++i) {
@@ -73,7 +73,13 @@
   if (outgoing) cut_outgoing_.insert(number);
 }
 
+void Cluster::CutLink(std::size_t a, std::size_t b) {
+  cut_links_.insert({a, b});
+  cut_links_.insert({b, a});
+}
+
 void Cluster::HealNetwork() {
+  cut_links_.clear();
   cut_incoming_.clear();
   cut_outgoing_.clear();
   faults_ = {};
@@ -81,7 +87,7 @@
 
 ProposalId Cluster::ProposeAt(std::size_t number, const std::string& command) {
   const ProposalId proposal = next_proposal_++;
-  commands_[proposal] = command;
+  commands_[proposal] = {command, checks_.accepted_index()};
   Input(number, Propose{proposal, command});
   return proposal;
 }
@@ -162,6 +168,7 @@
   if (target == nodes_.size()) return;
   if (cut_outgoing_.count(number) != 0) return;
   if (cut_incoming_.count(target) != 0) return;
+  if (cut_links_.count({number, target}) != 0) return;
   if (Random(kPermille) < faults_.lost) return;
   const Event event{
       EventKind::kDeliver, target, 0, {nodes_[number].process, message}};
@@ -172,7 +179,9 @@
 void Cluster::On(std::size_t number, const Persist& persist) {
   Node& node = nodes_[number];
   node.disk.Write(persist);
-  Schedule(sync_delay_, {EventKind::kSync, number, node.life, {}});
+  const auto longest = static_cast<std::uint64_t>(sync_delay_.count());
+  const auto delay = static_cast<Duration::rep>(Random(longest) + 1);
+  Schedule(Duration(delay), {EventKind::kSync, number, node.life, {}});
 }
 
 void Cluster::On(std::size_t number, const ApplyCommand& apply) {
@@ -193,11 +202,14 @@
 void Cluster::On(std::size_t /*number*/, const ProposalDone& done) {
   outcomes_[done.proposal] = done.outcome;
   if (done.outcome == ProposalOutcome::kCommitted) {
-    checks_.OnAccepted(done.index, commands_[done.proposal]);
+    const Proposed& proposed = commands_[done.proposal];
+    checks_.OnAccepted(done.index, proposed.command, proposed.floor);
   }
 }
 
-void Cluster::On(std::size_t /*number*/, const VoterChangeDone& /*done*/) {}
+void Cluster::On(std::size_t /*number*/, const VoterChangeDone& done) {
+  if (done.outcome == VoterChangeOutcome::kCommitted) ++voter_changes_;
+}
 
 void Cluster::On(std::size_t number, const TakeSnapshot& take) {
   Input(number, SnapshotTaken{take.index, nodes_[number].state.Save()});
@@ -205,6 +217,7 @@
 
 void Cluster::On(std::size_t number, const LogEvent& event) {
   if (event.kind == ReplicaEventKind::kLeaderElected) {
+    ++elections_;
     checks_.OnLeader(event.term, nodes_[number].process);
   }
   if (event.kind == ReplicaEventKind::kMemberForgot) {
@@ -230,7 +243,9 @@
   std::size_t holders = 0;
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     const auto& replica = nodes_[i].replica;
-    if (replica && replica->HoldsLease(LocalTime(i))) ++holders;
+    if (!replica || !replica->HoldsLease(LocalTime(i))) continue;
+    ++holders;
+    checks_.OnRead(nodes_[i].state.revision);
   }
   checks_.OnLeaseHolders(holders);
 }
--- a/tests/shell/net/http_server_test.cc
+++ b/tests/shell/net/http_server_test.cc
@@ -42,12 +42,13 @@
 
 BOOST_AUTO_TEST_CASE(RequestAndAnswerComeWhole) {
   boost::asio::io_context io;
-  HttpServer server(io, AnyPort(), {}, [](HttpRequest request, auto exchange) {
-    exchange->Respond({201,
-                       "text/plain",
-                       {},
-                       request.method + request.target + request.body});
-  });
+  HttpServer server(
+      io, AnyPort(), {}, [](const HttpRequest& request, const auto& exchange) {
+        exchange->Respond({201,
+                           "text/plain",
+                           {},
+                           request.method + request.target + request.body});
+      });
   HttpRequest request;
   request.method = "PUT";
   request.target = "/path?query";
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,7 @@
   // Waits for the end and returns the exit code, or minus the signal's number.
   int Wait();
   // The number after "NAME:" in the system's status page of the process.
-  long StatusNumber(const std::string& name) const;
+  std::int64_t StatusNumber(const std::string& name) const;
   bool running() const { return pid_ > 0; }
 
  private:
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -22,8 +22,14 @@
   Fleet& operator=(const Fleet&) = delete;
 
   // Starts a process with these parts of its settings, and completes the rest.
+<<<<<<< HEAD
   // Returns the addresses it tells.
-  nlohmann::json Start(const std::string& name, nlohmann::json settings);
+  nlohmann::json Start(const std::string& name, const nlohmann::json& settings);
+=======
+  // Returns the addresses it tells. The words are added to its command line.
+  nlohmann::json Start(const std::string& name, nlohmann::json settings,
+                       const std::vector<std::string>& words = {});
+>>>>>>> standin
   // Starts a stand-in that announces itself at the agent's engine address.
   nlohmann::json StartEngine(const std::string& name,
                              const std::string& services,
@@ -38,6 +44,10 @@
   void Apply(const std::string& admin, const nlohmann::json& document,
              int revision = 0);
   nlohmann::json Status(const std::string& admin);
+  // Sends one change and returns the answer; status zero when none came.
+  static HttpResponse Put(const std::string& admin,
+                          const nlohmann::json& document, int revision,
+                          const std::string& change_id);
   // Whole answer of a request to any address. Status zero when none came.
   static HttpResponse Fetch(const std::string& address,
                             const HttpRequest& request);
@@ -45,6 +55,10 @@
   static void Await(const std::string& what,
                     const std::function<bool()>& condition);
 
+  // "127.0.0.1:PORT" with a port that the kernel has just given and taken back,
+  // for processes that must know each other's address before they start.
+  static std::string UnusedAddress();
+
   const std::string& folder() const { return folder_; }
 
  private:
@@ -52,9 +66,11 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
-// A streamed or whole completion request of the workspace "demo".
+// A streamed or whole completion request of the workspace "demo". The engine
+// stand-in begins each token with the prompt's first word.
 HttpRequest CompletionRequest(const std::string& model, int max_tokens,
-                              bool stream);
+                              bool stream,
+                              const std::string& prompt = "a scarf of wool");
 
 // The text of a completion's stream event; empty where there is none.
 std::string EventText(const std::string& event);
