--- a/src/shell/process/control_role.h
+++ b/src/shell/process/control_role.h
@@ -43,7 +43,7 @@
   void SendOn(const ProcessId& peer, std::uint64_t call);
   void Input(ReplicaInput input);
   void HandleInputs();
-  void CarryOut(std::vector<ReplicaEffect> effects);
+  void CarryOut(const std::vector<ReplicaEffect>& effects);
   void CarryOut(const SendReplicaMessage& effect);
   void CarryOut(const Persist& effect);
   void CarryOut(const ApplyCommand& effect);
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -40,8 +40,9 @@
                       std::to_string(seed) + "-"),
       server_(context.io, ParseEndpoint(context.settings.entry->listen).value(),
               HttpLimits{},
-              [this](HttpRequest http, std::shared_ptr<HttpExchange> exchange) {
-                OnRequest(std::move(http), std::move(exchange));
+              [this](const HttpRequest& http,
+                     std::shared_ptr<HttpExchange> exchange) {
+                OnRequest(http, std::move(exchange));
               }) {
   if (context.settings.record_path.empty()) return;
   trace_ = std::make_unique<TraceFile>(
@@ -85,11 +86,11 @@
   ReportBacklogs();
   context_.metrics.Set(Gauge::kOpenRequests, core_.open_requests());
   const bool due = core_.NextDeadline() && *core_.NextDeadline() <= now;
-  std::vector<EntryEffect> effects = core_.Tick(now);
+  const std::vector<EntryEffect> effects = core_.Tick(now);
   if (trace_ && (due || !effects.empty())) {
     trace_->recorder().OnTick(effects, now);
   }
-  CarryOut(std::move(effects));
+  CarryOut(effects);
 }
 
 void EntryRole::Stop() {
@@ -102,7 +103,7 @@
   return core_.Drained() && callers_.empty() && open_settles_ == 0;
 }
 
-void EntryRole::OnRequest(HttpRequest http,
+void EntryRole::OnRequest(const HttpRequest& http,
                           std::shared_ptr<HttpExchange> exchange) {
   const auto& rules = context_.follower.rules();
   if (!rules) {
@@ -165,12 +166,12 @@
 
 void EntryRole::Input(const EntryInput& input) {
   const Time now = MonotonicNow();
-  std::vector<EntryEffect> effects = core_.Handle(input, now);
+  const std::vector<EntryEffect> effects = core_.Handle(input, now);
   if (trace_) trace_->recorder().OnInput(input, effects, now);
-  CarryOut(std::move(effects));
+  CarryOut(effects);
 }
 
-void EntryRole::CarryOut(std::vector<EntryEffect> effects) {
+void EntryRole::CarryOut(const std::vector<EntryEffect>& effects) {
   for (const EntryEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
