--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -84,11 +84,11 @@
   ReportBacklogs();
   context_.metrics.Set(Gauge::kOpenRequests, core_.open_requests());
   const bool due = core_.NextDeadline() && *core_.NextDeadline() <= now;
-  std::vector<EntryEffect> effects = core_.Tick(now);
+  const std::vector<EntryEffect> effects = core_.Tick(now);
   if (trace_ && (due || !effects.empty())) {
     trace_->recorder().OnTick(effects, now);
   }
-  CarryOut(std::move(effects));
+  CarryOut(effects);
 }
 
 void EntryRole::Stop() {
@@ -164,9 +164,9 @@
 
 void EntryRole::Input(const EntryInput& input) {
   const Time now = MonotonicNow();
-  std::vector<EntryEffect> effects = core_.Handle(input, now);
+  const std::vector<EntryEffect> effects = core_.Handle(input, now);
   if (trace_) trace_->recorder().OnInput(input, effects, now);
-  CarryOut(std::move(effects));
+  CarryOut(effects);
 }
 
 void EntryRole::CarryOut(const std::vector<EntryEffect>& effects) {
