tests: Set the votes' fields one by one, for the sanitizer build

Under the sanitizers the compiler takes an empty vote in a braced list for uninitialized, which is an error here.

--- a/tests/core/control/control_replica_test.cc
+++ b/tests/core/control/control_replica_test.cc
@@ -100,7 +100,8 @@
   for (ProposalId i = 1; i <= 30; ++i) host.Propose(i, "x");
   BOOST_REQUIRE(host.snapshot().has_value());
   RecoveredState recovered = Blank();
-  recovered.hard_state = {9, 2, std::nullopt};
+  recovered.hard_state.group = 9;
+  recovered.hard_state.term = 2;
   recovered.snapshot = host.snapshot();
   const Host again(recovered);
   BOOST_TEST(again.MayRead());
--- a/tests/core/replication/replica_test.cc
+++ b/tests/core/replication/replica_test.cc
@@ -2,7 +2,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <optional>
 #include <variant>
 
 #include "core/replication/cluster.h"
@@ -89,7 +88,8 @@
   static RecoveredState Past() {
     RecoveredState past;
     past.incarnation = 2;
-    past.hard_state = {9, 2, std::nullopt};
+    past.hard_state.group = 9;
+    past.hard_state.term = 2;
     Membership membership;
     Incarnation incarnation = 1;
     for (const char* name : {"a", "b", "c"}) {
@@ -127,7 +127,8 @@
 BOOST_AUTO_TEST_CASE(ALearnerCampaignsAfterTheVotersHaveTried) {
   RecoveredState past;
   past.incarnation = 2;
-  past.hard_state = {9, 2, std::nullopt};
+  past.hard_state.group = 9;
+  past.hard_state.term = 2;
   Membership membership;
   membership.members.resize(2);
   membership.members[0].id = {ProcessId("a"), 1};
@@ -149,7 +150,8 @@
 BOOST_AUTO_TEST_CASE(AnAnswerToAnEarlierTermRenewsNothing) {
   RecoveredState past;
   past.incarnation = 2;
-  past.hard_state = {9, 7, std::nullopt};
+  past.hard_state.group = 9;
+  past.hard_state.term = 7;
   ReplicaOptions options;
   options.self = ProcessId("b");
   const Time now(seconds(100));
@@ -189,7 +191,8 @@
 BOOST_AUTO_TEST_CASE(NoVoteIsGrantedRightAfterARestart) {
   RecoveredState past;
   past.incarnation = 2;
-  past.hard_state = {9, 7, std::nullopt};
+  past.hard_state.group = 9;
+  past.hard_state.term = 7;
   ReplicaOptions options;
   options.self = ProcessId("b");
   const Time start(seconds(100));
--- a/tests/shell/storage/disk_log_test.cc
+++ b/tests/shell/storage/disk_log_test.cc
@@ -205,7 +205,8 @@
   {
     const Opened opened = Open(options);
     Persist group;
-    group.hard_state = HardState{9, 7, std::nullopt};
+    group.hard_state.emplace();
+    group.hard_state->group = 9;
     Write(*opened.log, group);
     for (LogIndex i = 1; i <= 400; ++i) {
       Write(*opened.log, Entries(i, i));
