--- a/src/shell/process/control_role.cc
+++ b/src/shell/process/control_role.cc
@@ -65,20 +65,23 @@
   return options;
 }
 
+VoterPlannerOptions MakePlannerOptions(const Settings& settings) {
+  VoterPlannerOptions options;
+  const std::size_t founders = settings.control->founders.size();
+  if (founders > 0) options.target_voters = founders;
+  if (founders == 0) options.target_voters = 1;
+  return options;
+}
+
 }  // namespace
 
 ControlRole::ControlRole(ProcessContext& context, std::uint64_t seed)
     : context_(context),
       disk_(OpenDisk(context.settings.data_folder)),
-      service_(state_) {
-  RecoveredState recovered = disk_->TakeRecovered();
-  if (recovered.snapshot && !state_.Restore(recovered.snapshot->bytes)) {
-    throw std::runtime_error(context.settings.data_folder +
-                             ": the snapshot's content is damaged");
-  }
-  replica_ =
-      std::make_unique<Replica>(MakeOptions(context.settings),
-                                std::move(recovered), seed, MonotonicNow());
+      service_(machine_.state()),
+      replica_(Replica(MakeOptions(context.settings), disk_->TakeRecovered(),
+                       seed, MonotonicNow()),
+               machine_, MakePlannerOptions(context.settings)) {
   for (const ControlSeed& other : context.settings.control_seeds) {
     if (other.process == context.settings.process) continue;
     context_.hub.Keep(other.process, other.address);
@@ -93,7 +96,7 @@
   if (!request) return SendOn(peer, call.call);
   ServiceAnswer answer = service_.Handle(*request, view, WallClock(), now);
   if (const auto* reply = std::get_if<ControlReply>(&answer)) {
-    return Answer(peer, call.call, *reply);
+    return Answer(peer, call.call, EncodeControlReply(*reply));
   }
   if (waiting_.size() >= kMaxWaitingCalls) return SendOn(peer, call.call);
   const ProposalId proposal = next_proposal_++;
@@ -121,31 +124,33 @@
 
 void ControlRole::Tick(Time now) {
   handling_ = true;
-  CarryOut(replica_->Tick(now));
+  CarryOut(replica_.Tick(now));
   handling_ = false;
   HandleInputs();
+  AnnounceRevision();
   service_.Tick(View(now), now);
 }
 
 LeaderView ControlRole::View(Time now) const {
-  return {replica_->HoldsLease(now), replica_->leader().value_or(ProcessId()),
-          replica_->term()};
+  const Replica& replica = replica_.replica();
+  return {replica.HoldsLease(now), replica.leader().value_or(ProcessId()),
+          replica.term()};
 }
 
 void ControlRole::Answer(const ProcessId& peer, std::uint64_t call,
-                         const ControlReply& reply) {
+                         std::string reply) {
   ControlAnswer answer;
   answer.call = call;
   answer.acting = true;
   answer.leader = context_.settings.process;
-  answer.reply = EncodeControlReply(reply);
+  answer.reply = std::move(reply);
   context_.hub.Send(peer, LinkDirection::kIncoming, std::move(answer));
 }
 
 void ControlRole::SendOn(const ProcessId& peer, std::uint64_t call) {
   ControlAnswer answer;
   answer.call = call;
-  answer.leader = replica_->leader().value_or(ProcessId());
+  answer.leader = replica_.replica().leader().value_or(ProcessId());
   context_.hub.Send(peer, LinkDirection::kIncoming, std::move(answer));
 }
 
@@ -160,13 +165,13 @@
   while (!inputs_.empty()) {
     const ReplicaInput next = std::move(inputs_.front());
     inputs_.pop_front();
-    CarryOut(replica_->Handle(next, MonotonicNow()));
+    CarryOut(replica_.Handle(next, MonotonicNow()));
   }
   handling_ = false;
 }
 
-void ControlRole::CarryOut(const std::vector<ReplicaEffect>& effects) {
-  for (const ReplicaEffect& effect : effects) {
+void ControlRole::CarryOut(const std::vector<ControlReplicaEffect>& effects) {
+  for (const ControlReplicaEffect& effect : effects) {
     std::visit([this](const auto& one) { CarryOut(one); }, effect);
   }
 }
@@ -185,43 +190,19 @@
   }
 }
 
-void ControlRole::CarryOut(const ApplyCommand& effect) {
-  const auto command = DecodeControlCommand(effect.command);
-  // What was committed was encoded by a leader: a later version's unknown
-  // request changes nothing here.
-  last_reply_ = command ? state_.Apply(*command) : ControlReply();
-  AnnounceRevision();
-}
-
-void ControlRole::CarryOut(const ApplySnapshot& effect) {
-  if (!state_.Restore(effect.bytes)) {
-    Log(LogLevel::kError, Event::kStorageFailed,
-        {{"problem", "a snapshot's content is damaged"}});
-    return;
-  }
+void ControlRole::CarryOut(const CommandAnswered& effect) {
   AnnounceRevision();
-}
-
-void ControlRole::CarryOut(const ProposalDone& effect) {
   const auto waiting = waiting_.find(effect.proposal);
   if (waiting == waiting_.end()) return;
   const WaitingCall call = waiting->second;
   waiting_.erase(waiting);
   if (effect.outcome == ProposalOutcome::kCommitted) {
-    return Answer(call.peer, call.call, last_reply_);
+    return Answer(call.peer, call.call, effect.reply);
   }
   // Asked again, the request is answered by what became of it.
   SendOn(call.peer, call.call);
 }
 
-void ControlRole::CarryOut(const VoterChangeDone&) {}
-
-void ControlRole::CarryOut(const TakeSnapshot& effect) {
-  Log(LogLevel::kInfo, Event::kSnapshotTaken,
-      {{"index", std::to_string(effect.index)}});
-  Input(SnapshotTaken{effect.index, state_.Snapshot()});
-}
-
 void ControlRole::CarryOut(const LogEvent& effect) {
   const std::string term = std::to_string(effect.term);
   switch (effect.kind) {
@@ -242,8 +223,9 @@
 }
 
 void ControlRole::AnnounceRevision() {
-  if (state_.revision() <= announced_) return;
-  announced_ = state_.revision();
+  const Revision revision = machine_.state().revision();
+  if (revision <= announced_) return;
+  announced_ = revision;
   context_.follower.OnRevisionSeen(announced_, MonotonicNow());
   // Any frame carries the revision: those who ask this replica hear at once.
   context_.hub.SendToAll(LinkDirection::kIncoming, ControlAnswer());
--- a/src/shell/process/control_role.h
+++ b/src/shell/process/control_role.h
@@ -4,12 +4,13 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
+#include "coltsfootfork/core/control/control_replica.h"
 #include "coltsfootfork/core/control_state/control_service.h"
-#include "coltsfootfork/core/control_state/control_state.h"
-#include "coltsfootfork/core/replication/replica.h"
 #include "coltsfootfork/shell/storage/disk_log.h"
+#include "shell/process/control_state_machine.h"
 #include "shell/process/process_context.h"
 #include "wire/envelope.h"
 
@@ -37,34 +38,29 @@
   };
 
   LeaderView View(Time now) const;
-  void Answer(const ProcessId& peer, std::uint64_t call,
-              const ControlReply& reply);
+  void Answer(const ProcessId& peer, std::uint64_t call, std::string reply);
   // Lets the caller ask the leader, or ask again.
   void SendOn(const ProcessId& peer, std::uint64_t call);
   void Input(ReplicaInput input);
   void HandleInputs();
-  void CarryOut(const std::vector<ReplicaEffect>& effects);
+  void CarryOut(const std::vector<ControlReplicaEffect>& effects);
   void CarryOut(const SendReplicaMessage& effect);
   void CarryOut(const Persist& effect);
-  void CarryOut(const ApplyCommand& effect);
-  void CarryOut(const ApplySnapshot& effect);
-  void CarryOut(const ProposalDone& effect);
-  void CarryOut(const VoterChangeDone& effect);
-  void CarryOut(const TakeSnapshot& effect);
+  void CarryOut(const CommandAnswered& effect);
   void CarryOut(const LogEvent& effect);
+  // Tells everyone at once when a new revision was committed.
   void AnnounceRevision();
 
   ProcessContext& context_;
   std::unique_ptr<DiskLog> disk_;
-  ControlState state_;
+  ControlStateMachine machine_;
   ControlService service_;
-  std::unique_ptr<Replica> replica_;
+  ControlReplica replica_;
   // Inputs that effects have led to, in order.
   std::deque<ReplicaInput> inputs_;
   bool handling_ = false;
   std::uint64_t next_proposal_ = 1;
   std::map<ProposalId, WaitingCall> waiting_;
-  ControlReply last_reply_;
   Revision announced_ = 0;
 };
 
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -16,7 +16,7 @@
 // How long the end of a claimed request is offered to the control replicas.
 constexpr std::chrono::milliseconds kSettleTimeout{60000};
 constexpr std::chrono::milliseconds kUnconfirmedRetryAfter{1000};
-// A change of backlog below this is not worth telling the core.
+// Growth of a backlog below this is not worth telling the core.
 constexpr std::uint64_t kBacklogStepBytes = 4096;
 
 EntryOptions MakeOptions(const Settings& settings) {
@@ -260,10 +260,10 @@
   for (auto& [request, caller] : callers_) {
     const std::uint64_t backlog = caller.answer.backlog_bytes();
     const std::uint64_t before = caller.reported_backlog;
-    const std::uint64_t step =
-        backlog > before ? backlog - before : before - backlog;
-    const bool emptied = backlog == 0 && before > 0;
-    if (step < kBacklogStepBytes && !emptied) continue;
+    // Any shrink counts: it shows that the caller is still taking.
+    const bool shrunk = backlog < before;
+    const bool grown = backlog >= before + kBacklogStepBytes;
+    if (!shrunk && !grown) continue;
     caller.reported_backlog = backlog;
     changed.push_back({request, backlog});
   }
