limits: Split workspace limits over the live entries by demand

Cause: each entry let a workspace's whole limit through, so two entries gave twice the limit; incarnations were random, though the lease table reads them as start times; the highest revision seen was forgotten at a restart. Change: entries report demands above half an even part with their lease renewals, the leader splits them (SplitByDemand) and tells each entry its place, the others get even parts that sum up to the limit; incarnations are start times; RevisionFile keeps the highest revision in the data folder.

--- a/include/coltsfootfork/core/control_state/control_service.h
+++ b/include/coltsfootfork/core/control_state/control_service.h
@@ -9,6 +9,7 @@
 #include "coltsfootfork/core/control_state/control_command.h"
 #include "coltsfootfork/core/control_state/control_state.h"
 #include "coltsfootfork/core/control_state/lease_table.h"
+#include "coltsfootfork/core/control_state/limit_splitter.h"
 #include "coltsfootfork/core/messages/control_messages.h"
 #include "coltsfootfork/core/types/time.h"
 
@@ -35,7 +36,7 @@
  public:
   // The state must outlive the service.
   explicit ControlService(const ControlState& state, LeaseLimits limits = {})
-      : state_(state), leases_(limits) {}
+      : state_(state), leases_(limits), splitter_(limits.lease) {}
 
   // The wall clock is the time since 1970.
   ServiceAnswer Handle(const ControlRequest& request, const LeaderView& view,
@@ -69,6 +70,9 @@
 
   const ControlState& state_;
   LeaseTable leases_;
+  LimitSplitter splitter_;
+  // Of the newest document that this binary understands; may be null.
+  std::shared_ptr<const ServingRules> rules_;
   std::optional<std::uint64_t> leading_term_;
   std::optional<ClockBase> clock_;
   Revision rules_revision_ = 0;
--- a/include/coltsfootfork/core/messages/control_messages.h
+++ b/include/coltsfootfork/core/messages/control_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coltsfootfork/core/messages/engine_messages.h"
+#include "coltsfootfork/core/messages/limit_messages.h"
 #include "coltsfootfork/core/types/finding.h"
 #include "coltsfootfork/core/types/ids.h"
 #include "coltsfootfork/core/types/reason.h"
@@ -120,6 +121,8 @@
   std::vector<ServiceId> services;
   std::uint64_t server_incarnation = 0;
   bool draining = false;
+  // An entry's demands that an even part of the limits may not cover.
+  std::vector<WorkspaceDemand> demand;
 };
 
 // One agent in the directory that entries choose from.
@@ -138,6 +141,9 @@
   Revision revision = 0;
   // Changes with each change of the directory.
   std::uint64_t directory_version = 0;
+  // For an entry: its place, and its parts of limits that are split by demand.
+  EntryPlace place;
+  std::vector<WorkspaceLimitShare> shares;
 };
 
 // Ask for what has changed since a known revision and directory version.
--- a/include/coltsfootfork/core/messages/limit_messages.h
+++ b/include/coltsfootfork/core/messages/limit_messages.h
@@ -16,6 +16,12 @@
   std::uint32_t concurrent_streams = 0;
 };
 
+// One entry among the live ones, in the order of their names.
+struct EntryPlace {
+  std::uint32_t entries = 1;
+  std::uint32_t index = 0;
+};
+
 // What one entry may let through for a workspace.
 struct WorkspaceLimitShare {
   WorkspaceId workspace;
--- a/src/core/control_state/control_fields.h
+++ b/src/core/control_state/control_fields.h
@@ -82,6 +82,31 @@
   archive("findings", m.findings);
 }
 
+template <typename A>
+void Fields(A& archive, LimitShare& m) {
+  archive("requests_per_second", m.requests_per_second);
+  archive("tokens_per_second", m.tokens_per_second);
+  archive("concurrent_streams", m.concurrent_streams);
+}
+
+template <typename A>
+void Fields(A& archive, WorkspaceDemand& m) {
+  archive("workspace", m.workspace);
+  archive("wanted", m.wanted);
+}
+
+template <typename A>
+void Fields(A& archive, WorkspaceLimitShare& m) {
+  archive("workspace", m.workspace);
+  archive("share", m.share);
+}
+
+template <typename A>
+void Fields(A& archive, EntryPlace& m) {
+  archive("entries", m.entries);
+  archive("index", m.index);
+}
+
 template <typename A>
 void Fields(A& archive, RenewLease& m) {
   archive("process", m.process);
@@ -95,6 +120,7 @@
   archive("services", m.services);
   archive("server_incarnation", m.server_incarnation);
   archive("draining", m.draining);
+  archive("demand", m.demand);
 }
 
 template <typename A>
@@ -103,6 +129,8 @@
   archive("lease_ms", m.lease);
   archive("revision", m.revision);
   archive("directory_version", m.directory_version);
+  archive("place", m.place);
+  archive("shares", m.shares);
 }
 
 template <typename A>
--- a/src/core/control_state/control_service.cc
+++ b/src/core/control_state/control_service.cc
@@ -106,6 +106,7 @@
   leading_term_ = view.term;
   clock_.reset();
   leases_.Reset(view.term, now);
+  splitter_.Clear();
 }
 
 void ControlService::TakeRules() {
@@ -116,8 +117,9 @@
   // A document of a newer binary: the former inventory stays.
   if (!configuration.has_value()) return;
   configuration->revision = rules_revision_;
-  leases_.SetRules(std::make_shared<const ServingRules>(
-      std::make_shared<const Configuration>(std::move(*configuration))));
+  rules_ = std::make_shared<const ServingRules>(
+      std::make_shared<const Configuration>(std::move(*configuration)));
+  leases_.SetRules(rules_);
 }
 
 ControlCommand ControlService::Command(ControlRequest request,
@@ -194,6 +196,7 @@
   reply.granted = leases_.Renew(renew, now);
   reply.lease = leases_.lease();
   reply.directory_version = leases_.directory_version(now);
+  if (reply.granted) splitter_.Answer(renew, rules_.get(), now, reply);
   return reply;
 }
 
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "coltsfootfork/core/routing/agent_subset.h"
+#include "coltsfootfork/core/routing/limit_shares.h"
 #include "coltsfootfork/core/stream/stored_generation.h"
 #include "shell/log/event.h"
 #include "shell/net/ip_address.h"
@@ -80,6 +81,19 @@
   Input(DirectoryChanged{subset});
 }
 
+void EntryRole::OnLimitShares(const RenewLeaseReply& reply) {
+  place_ = reply.place;
+  const Configuration& configuration =
+      context_.follower.rules()->configuration();
+  Input(LimitSharesGranted{SharesOfEntry(reply, configuration)});
+}
+
+std::vector<WorkspaceDemand> EntryRole::DemandToReport(Time now) const {
+  const auto& rules = context_.follower.rules();
+  if (!rules) return {};
+  return DemandsToReport(core_.Demand(now), rules->configuration(), place_);
+}
+
 void EntryRole::Tick(Time now) {
   ReportBacklogs();
   context_.metrics.Set(Gauge::kOpenRequests, core_.open_requests());
--- a/src/shell/process/entry_role.h
+++ b/src/shell/process/entry_role.h
@@ -35,6 +35,9 @@
   void OnAgentMessage(const ProcessId& agent, AgentToEntry message);
   void OnConfiguration(std::shared_ptr<const Configuration> configuration);
   void OnDirectory(const std::vector<DirectoryAgent>& directory);
+  // The leader's answer to a renewal: this entry's parts of all limits.
+  void OnLimitShares(const RenewLeaseReply& reply);
+  std::vector<WorkspaceDemand> DemandToReport(Time now) const;
   void Tick(Time now);
 
   // Refuses new requests; running ones go on.
@@ -87,6 +90,7 @@
   std::map<RequestId, Caller> callers_;
   // The directory's agents that this entry keeps links to.
   std::set<ProcessId> agents_;
+  EntryPlace place_;
   std::uint32_t open_settles_ = 0;
   bool stopping_ = false;
   HttpServer server_;
--- a/src/shell/process/process.cc
+++ b/src/shell/process/process.cc
@@ -1,9 +1,10 @@
 #include "shell/process/process.h"
 
 #include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
-#include <random>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -26,12 +27,28 @@
 // How long the last frames may take to leave after a planned stop.
 constexpr std::chrono::milliseconds kFlushTimeout{5000};
 
-std::uint64_t RandomNumber() {
-  std::random_device device;
-  constexpr unsigned kWordBits = 32;
-  // Kept within the whole numbers that every JSON reader holds exactly.
-  constexpr std::uint64_t kMask = (std::uint64_t{1} << 53U) - 1;
-  return ((std::uint64_t{device()} << kWordBits) | device()) & kMask;
+// Incarnations are start times, so that a later start is a higher number.
+std::uint64_t StartTime() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// The revision that the process had seen before its start.
+std::optional<RevisionFile> OpenRevisionFile(const std::string& folder) {
+  if (folder.empty()) return std::nullopt;
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::optional<RevisionFile>> {
+        BOOST_LEAF_AUTO(file, RevisionFile::Open(folder));
+        return std::optional<RevisionFile>(std::move(file));
+      },
+      [](const StorageError& error) -> std::optional<RevisionFile> {
+        throw std::runtime_error(error.place + ": " + error.problem);
+      },
+      [&]() -> std::optional<RevisionFile> {
+        throw std::runtime_error(folder + ": cannot be opened");
+      });
 }
 
 // A process that is the only control replica needs no list of them.
@@ -46,8 +63,9 @@
 Process::Process(boost::asio::io_context& io, Settings settings)
     : io_(io),
       settings_(std::move(settings)),
-      incarnation_(RandomNumber()),
-      follower_(FollowerLimits{}, 0),
+      incarnation_(StartTime()),
+      revision_file_(OpenRevisionFile(settings_.data_folder)),
+      follower_(FollowerLimits{}, revision_file_ ? revision_file_->kept() : 0),
       hub_(io, {settings_.process, settings_.fleet_key},
            ParseEndpoint(settings_.peer_listen).value(), MakeHubEvents()),
       address_(settings_.peer_advertise.empty()
@@ -141,6 +159,7 @@
   const Time now = MonotonicNow();
   if (control_) control_->Tick(now);
   control_client_.Tick(now);
+  KeepHighestRevision();
   FetchStateWhenDue(now);
   RenewLeaseWhenDue(now);
   if (agent_) agent_->Tick(now);
@@ -149,6 +168,19 @@
   ScheduleTick();
 }
 
+void Process::KeepHighestRevision() {
+  if (!revision_file_) return;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        return revision_file_->Keep(follower_.highest_seen());
+      },
+      [](const StorageError& error) {
+        Log(LogLevel::kError, Event::kStorageFailed,
+            {{"place", error.place}, {"problem", error.problem}});
+      },
+      [] {});
+}
+
 void Process::RenewLeaseWhenDue(Time now) {
   if (renewing_) return;
   RenewLease renewal = DescribeSelf();
@@ -179,6 +211,7 @@
     follower_.OnRevisionConfirmed(renewed->revision, now);
   }
   follower_.OnDirectoryVersionSeen(renewed->directory_version, now);
+  if (entry_ && follower_.rules()) entry_->OnLimitShares(*renewed);
 }
 
 void Process::FetchStateWhenDue(Time now) {
@@ -273,7 +306,10 @@
   ControlAnswer answer;
   answer.call = call.call;
   if (call.call == kPeerFetchCall) {
-    answer.reply = EncodeControlReply(DescribeStateForPeer());
+    const auto request = DecodeControlRequest(call.request);
+    const auto* fetch = request ? std::get_if<FetchState>(&*request) : nullptr;
+    if (fetch == nullptr) return;
+    answer.reply = EncodeControlReply(follower_.ReplyToPeer(*fetch));
   }
   hub_.Send(peer, direction, answer);
 }
@@ -289,15 +325,6 @@
   }
 }
 
-FetchStateReply Process::DescribeStateForPeer() const {
-  FetchStateReply state;
-  state.current = false;
-  state.revision = follower_.in_force();
-  state.payload = follower_.document();
-  state.digest = follower_.digest();
-  return state;
-}
-
 bool Process::Ready() const {
   return !stopping_ && follower_.rules() != nullptr &&
          !follower_.RefusalReason(MonotonicNow());
@@ -338,6 +365,7 @@
     renewal.roles += renewal.roles.empty() ? role : "," + role;
   }
   if (agent_) agent_->DescribeServer(renewal);
+  if (entry_) renewal.demand = entry_->DemandToReport(MonotonicNow());
   return renewal;
 }
 
--- a/src/shell/process/process.h
+++ b/src/shell/process/process.h
@@ -19,6 +19,7 @@
 #include "shell/process/peer_hub.h"
 #include "shell/process/process_context.h"
 #include "shell/process/settings.h"
+#include "shell/storage/revision_file.h"
 
 namespace coltsfootfork {
 
@@ -46,13 +47,14 @@
   void WatchSignals();
   void ScheduleTick();
   void Tick();
+  // Before the revision counts for anything that a restart must remember.
+  void KeepHighestRevision();
   void RenewLeaseWhenDue(Time now);
   void OnLeaseReply(const std::optional<ControlReply>& reply);
   void FetchStateWhenDue(Time now);
   // Cut off from control: a peer that knows of a newer revision may have it.
   void AskPeerForState(const FetchState& fetch);
   void OnState(const FetchStateReply& state);
-  FetchStateReply DescribeStateForPeer() const;
   void BringInForce();
   void OnPeerUp(const ProcessId& peer, LinkDirection direction);
   void OnPeerDown(const ProcessId& peer, LinkDirection direction);
@@ -71,6 +73,7 @@
   Settings settings_;
   std::uint64_t incarnation_;
   MetricsRegistry metrics_;
+  std::optional<RevisionFile> revision_file_;
   ConfigurationFollower follower_;
   PeerHub hub_;
   // Where peers reach this process.
--- a/tests/e2e/control_group_test.cc
+++ b/tests/e2e/control_group_test.cc
@@ -122,6 +122,26 @@
              "change-after-1");
 }
 
+BOOST_AUTO_TEST_CASE(ReplicaWithAnEmptiedFolderComesBackAsANewOne) {
+  ControlGroup group;
+  const std::string leader = group.Leader();
+  const std::string lost = group.Other(leader);
+  group.fleet.Apply(group.admin[leader], DocumentWithWeight(1), 0);
+  group.fleet.Kill(lost);
+  std::filesystem::remove_all(group.fleet.folder() + "/" + lost);
+  group.Start(lost);
+  // Once it is a voter again, a second host may be lost: the group of the
+  // other two voters still has a quorum.
+  Fleet::Await("the new replica is a voter", [&] {
+    const std::string log = group.fleet.Log(leader);
+    return log.find("promoted " + lost) != std::string::npos ||
+           log.find("voter_changed replica=" + lost) != std::string::npos;
+  });
+  group.fleet.Kill(leader);
+  group.fleet.Apply(group.admin[lost], DocumentWithWeight(2), 1);
+  BOOST_TEST(group.RevisionSeenBy(lost) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(OfTwoOperatorsWithOneNumberOneWins) {
   ControlGroup group;
   group.fleet.Apply(group.admin["control-1"], DocumentWithWeight(1), 0);
--- a/tests/e2e/path_faults_test.cc
+++ b/tests/e2e/path_faults_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -211,6 +212,48 @@
   BOOST_TEST(path.Served("1"));
 }
 
+BOOST_AUTO_TEST_CASE(StreamLimitHoldsOverBothEntries) {
+  constexpr int kLimit = 4;
+  TwoOfEach path({"--token-interval-ms=20"});
+  json document = DemoConfiguration();
+  document["inventory"]["workspaces"][0]["limits"]["concurrent_streams"] =
+      kLimit;
+  path.fleet.Apply(path.control["admin"], document, 1);
+  std::vector<std::unique_ptr<HttpStream>> streams;
+  const auto open_streams = [&](const std::string& entry) {
+    int opened = 0;
+    for (int i = 0; i < kLimit; ++i) {
+      auto stream = std::make_unique<HttpStream>(
+          path.entries[entry]["entry"],
+          CompletionRequest("mirror", 100000, true));
+      if (stream->Status() != 200) continue;
+      ++opened;
+      streams.push_back(std::move(stream));
+    }
+    return opened;
+  };
+  Fleet::Await("the limit is in force at both entries", [&] {
+    const json status = path.fleet.Status(path.control["admin"]);
+    int in_force = 0;
+    for (const json& process : status.value("processes", json::array())) {
+      if (process.value("roles", std::string()) == "entry" &&
+          process.value("revision", 0) == 2) {
+        ++in_force;
+      }
+    }
+    return in_force == 2;
+  });
+  // Tried again while the parts move to where the demand is.
+  int opened = 0;
+  Fleet::Await("one entry's callers get all that the other leaves", [&] {
+    opened += open_streams("1");
+    BOOST_REQUIRE(opened <= kLimit);
+    return opened >= kLimit - 1;
+  });
+  opened += open_streams("2");
+  BOOST_TEST(opened <= kLimit);
+}
+
 BOOST_AUTO_TEST_CASE(ServerTakenOutOfTheInventoryEndsItsStreamsAndGetsNoMore) {
   TwoOfEach path({"--token-interval-ms=20"});
   HttpStream stream = path.Stream(150);
