--- a/include/coltsfootfork/core/control_state/control_service.h
+++ b/include/coltsfootfork/core/control_state/control_service.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <variant>
+#include <vector>
 
 #include "coltsfootfork/core/control_state/control_command.h"
 #include "coltsfootfork/core/control_state/control_state.h"
@@ -23,6 +24,8 @@
   // The leader as far as known.
   ProcessId leader;
   std::uint64_t term = 0;
+  // The members of the group.
+  std::vector<ReplicaStatus> replicas;
 };
 
 // A reply to send now, or a command to propose to the log; the reply to the
--- a/include/coltsfootfork/core/messages/control_messages.h
+++ b/include/coltsfootfork/core/messages/control_messages.h
@@ -176,6 +176,15 @@
   std::chrono::milliseconds lease_left{0};
 };
 
+// One replica of the control group.
+struct ReplicaStatus {
+  ProcessId process;
+  // The random number of its data folder.
+  std::uint64_t incarnation = 0;
+  // It counts for the quorum; else it is a learner.
+  bool voter = false;
+};
+
 struct ReadStatusReply {
   bool current = false;
   ProcessId leader;
@@ -185,6 +194,7 @@
   // Backend servers that the inventory lacks or contradicts, and names or
   // addresses that two processes claim.
   std::vector<Finding> findings;
+  std::vector<ReplicaStatus> replicas;
 };
 
 using ControlRequest = std::variant<ClaimBegin, ClaimSettle, PutConfiguration,
--- a/src/cli/status_command.cc
+++ b/src/cli/status_command.cc
@@ -41,7 +41,13 @@
 void PrintTable(const json& status) {
   std::cout << "leader " << status.value("leader", std::string()) << ", term "
             << status.value("term", 0ULL) << ", revision "
-            << status.value("revision", 0ULL) << "\n\n";
+            << status.value("revision", 0ULL) << "\n";
+  std::cout << "control replicas:";
+  for (const json& replica : status.value("replicas", json::array())) {
+    std::cout << " " << replica.value("process", std::string())
+              << (replica.value("voter", false) ? "" : " (learner)");
+  }
+  std::cout << "\n\n";
   std::cout << std::left << std::setw(kNameWidth) << "PROCESS"
             << std::setw(kRolesWidth) << "ROLES" << std::setw(kZoneWidth)
             << "ZONE" << std::setw(kRevisionWidth) << "REVISION"
--- a/src/core/control_state/control_fields.h
+++ b/src/core/control_state/control_fields.h
@@ -171,6 +171,13 @@
   archive("lease_left_ms", m.lease_left);
 }
 
+template <typename A>
+void Fields(A& archive, ReplicaStatus& m) {
+  archive("process", m.process);
+  archive("incarnation", m.incarnation);
+  archive("voter", m.voter);
+}
+
 template <typename A>
 void Fields(A& archive, ReadStatusReply& m) {
   archive("current", m.current);
@@ -179,6 +186,7 @@
   archive("revision", m.revision);
   archive("processes", m.processes);
   archive("findings", m.findings);
+  archive("replicas", m.replicas);
 }
 
 }  // namespace coltsfootfork
--- a/src/core/control_state/control_service.cc
+++ b/src/core/control_state/control_service.cc
@@ -207,6 +207,7 @@
   reply.term = view.term;
   reply.revision = state_.revision();
   if (!reply.current) return reply;
+  reply.replicas = view.replicas;
   reply.processes = leases_.Status(now);
   reply.findings = leases_.FindingsAt(now);
   return reply;
--- a/src/shell/process/admin_documents.cc
+++ b/src/shell/process/admin_documents.cc
@@ -106,7 +106,14 @@
   for (const ProcessStatus& process : status->processes) {
     processes.push_back(ProcessDocument(process, status->revision));
   }
+  json replicas = json::array();
+  for (const ReplicaStatus& replica : status->replicas) {
+    replicas.push_back({{"process", replica.process.value()},
+                        {"incarnation", replica.incarnation},
+                        {"voter", replica.voter}});
+  }
   return JsonResponse(200, {{"leader", status->leader.value()},
+                            {"replicas", replicas},
                             {"term", status->term},
                             {"revision", status->revision},
                             {"processes", processes},
--- a/src/shell/process/control_role.cc
+++ b/src/shell/process/control_role.cc
@@ -133,8 +133,15 @@
 
 LeaderView ControlRole::View(Time now) const {
   const Replica& replica = replica_.replica();
-  return {replica.HoldsLease(now), replica.leader().value_or(ProcessId()),
-          replica.term()};
+  LeaderView view;
+  view.holds_lease = replica.HoldsLease(now);
+  view.leader = replica.leader().value_or(ProcessId());
+  view.term = replica.term();
+  for (const Member& member : replica.membership().members) {
+    view.replicas.push_back({member.id.process, member.id.incarnation,
+                             replica.membership().IsVoter(member.id)});
+  }
+  return view;
 }
 
 void ControlRole::Answer(const ProcessId& peer, std::uint64_t call,
--- a/tests/e2e/control_group_test.cc
+++ b/tests/e2e/control_group_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <filesystem>
 #include <map>
 #include <string>
 #include <vector>
@@ -56,6 +57,18 @@
     return {};
   }
 
+  // What a voter's status says of a replica of that name; the voter where it
+  // has two.
+  json Replica(const std::string& asked, const std::string& name) {
+    json found = json::object();
+    const json status = fleet.Status(admin.at(asked));
+    for (const json& replica : status.value("replicas", json::array())) {
+      if (replica["process"] != name) continue;
+      if (found.empty() || replica["voter"] == true) found = replica;
+    }
+    return found;
+  }
+
   int RevisionSeenBy(const std::string& voter) {
     return fleet.Status(admin.at(voter)).value("revision", -1);
   }
@@ -127,16 +140,16 @@
   const std::string leader = group.Leader();
   const std::string lost = group.Other(leader);
   group.fleet.Apply(group.admin[leader], DocumentWithWeight(1), 0);
+  const json before = group.Replica(leader, lost);
   group.fleet.Kill(lost);
   std::filesystem::remove_all(group.fleet.folder() + "/" + lost);
   group.Start(lost);
-  // Once it is a voter again, a second host may be lost: the group of the
-  // other two voters still has a quorum.
-  Fleet::Await("the new replica is a voter", [&] {
-    const std::string log = group.fleet.Log(leader);
-    return log.find("promoted " + lost) != std::string::npos ||
-           log.find("voter_changed replica=" + lost) != std::string::npos;
+  Fleet::Await("the new replica is a voter in the old one's place", [&] {
+    const json now = group.Replica(leader, lost);
+    return now.value("voter", false) &&
+           now["incarnation"] != before["incarnation"];
   });
+  // A second host is lost straight after the repair.
   group.fleet.Kill(leader);
   group.fleet.Apply(group.admin[lost], DocumentWithWeight(2), 1);
   BOOST_TEST(group.RevisionSeenBy(lost) == 2);
