--- a/src/core/scheduling/agent_state.h
+++ b/src/core/scheduling/agent_state.h
@@ -52,13 +52,18 @@
   std::set<ProcessId> entries;
   RequestQueue queue;
   RunningTable running;
+  // Attempts that were handed over and may have run.
   EndedAttempts ended;
+  // Attempts that entries were told not to have run.
+  EndedAttempts refused;
   Admission admission;
   LengthPredictor lengths;
   WorkspaceLimiter limiter;
   CapacityMeter capacity;
   FenceGuard fences;
   ReportState report;
+  // Whether the present input may let waiting work start.
+  bool start_due = false;
   // Time that the server takes for one token of a prompt.
   std::chrono::duration<double> prefill_per_token{0};
 
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coltsfootfork/core/routing/agent_subset.h"
 #include "coltsfootfork/core/stream/stored_generation.h"
 #include "shell/log/event.h"
 #include "shell/net/ip_address.h"
@@ -15,7 +16,7 @@
 // How long the end of a claimed request is offered to the control replicas.
 constexpr std::chrono::milliseconds kSettleTimeout{60000};
 constexpr std::chrono::milliseconds kUnconfirmedRetryAfter{1000};
-// A change of backlog below this is not worth telling the core.
+// Growth of a backlog below this is not worth telling the core.
 constexpr std::uint64_t kBacklogStepBytes = 4096;
 
 EntryOptions MakeOptions(const Settings& settings) {
@@ -53,7 +54,11 @@
 
 void EntryRole::OnAgentUp(const ProcessId& agent) { Input(AgentUp{agent}); }
 
-void EntryRole::OnAgentDown(const ProcessId& agent) { Input(AgentDown{agent}); }
+void EntryRole::OnAgentDown(const ProcessId& agent) {
+  Input(AgentDown{agent});
+  // A link outside the subset stays only as long as it carries streams.
+  if (agents_.count(agent) == 0) context_.hub.Drop(agent);
+}
 
 void EntryRole::OnAgentMessage(const ProcessId& agent, AgentToEntry message) {
   Input(AgentMessage{agent, std::move(message)});
@@ -65,21 +70,14 @@
 }
 
 void EntryRole::OnDirectory(const std::vector<DirectoryAgent>& directory) {
-  std::set<ProcessId> listed;
-  for (const DirectoryAgent& agent : directory) {
-    listed.insert(agent.process);
+  const std::vector<DirectoryAgent> subset = ChooseAgentSubset(
+      directory, context_.settings.process, context_.settings.zone);
+  agents_.clear();
+  for (const DirectoryAgent& agent : subset) {
     agents_.insert(agent.process);
     context_.hub.Keep(agent.process, agent.address);
   }
-  Input(DirectoryChanged{directory});
-  for (auto it = agents_.begin(); it != agents_.end();) {
-    if (listed.count(*it) > 0) {
-      ++it;
-      continue;
-    }
-    // A link that still carries streams ends with them, by the agent's hand.
-    it = agents_.erase(it);
-  }
+  Input(DirectoryChanged{subset});
 }
 
 void EntryRole::Tick(Time now) {
@@ -262,10 +260,10 @@
   for (auto& [request, caller] : callers_) {
     const std::uint64_t backlog = caller.answer.backlog_bytes();
     const std::uint64_t before = caller.reported_backlog;
-    const std::uint64_t step =
-        backlog > before ? backlog - before : before - backlog;
-    const bool emptied = backlog == 0 && before > 0;
-    if (step < kBacklogStepBytes && !emptied) continue;
+    // Any shrink counts: it shows that the caller is still taking.
+    const bool shrunk = backlog < before;
+    const bool grown = backlog >= before + kBacklogStepBytes;
+    if (!shrunk && !grown) continue;
     caller.reported_backlog = backlog;
     changed.push_back({request, backlog});
   }
--- a/tests/core/replication/replica_test.cc
+++ b/tests/core/replication/replica_test.cc
@@ -2,7 +2,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <optional>
 #include <variant>
 
 #include "core/replication/cluster.h"
@@ -89,7 +88,8 @@
   static RecoveredState Past() {
     RecoveredState past;
     past.incarnation = 2;
-    past.hard_state = {9, 2, std::nullopt};
+    past.hard_state.group = 9;
+    past.hard_state.term = 2;
     Membership membership;
     Incarnation incarnation = 1;
     for (const char* name : {"a", "b", "c"}) {
@@ -123,12 +123,35 @@
   BOOST_TEST(leader.replica().commit_index() == 3U);
 }
 
+// Where it alone has the latest entries, the voters may elect nobody else.
+BOOST_AUTO_TEST_CASE(ALearnerCampaignsAfterTheVotersHaveTried) {
+  RecoveredState past;
+  past.incarnation = 2;
+  past.hard_state.group = 9;
+  past.hard_state.term = 2;
+  Membership membership;
+  membership.members.resize(2);
+  membership.members[0].id = {ProcessId("a"), 1};
+  membership.members[0].role = MemberRole::kVoter;
+  membership.members[1].id = {ProcessId("b"), 2};
+  past.entries.push_back({1, 1, EntryKind::kMembership, {}, membership});
+  ReplicaOptions options;
+  options.self = ProcessId("b");
+  const Time start(seconds(100));
+  Replica replica(options, past, 1, start);
+  replica.Tick(start + 4 * options.election_minimum);
+  BOOST_TEST((replica.role() == ReplicaRole::kLearner));
+  replica.Tick(start + 6 * options.election_minimum);
+  BOOST_TEST((replica.role() == ReplicaRole::kPreCandidate));
+}
+
 // Found by a fault schedule: an answer to a request of an earlier term counted
 // as an answer to the same leader's present term, and renewed its lease.
 BOOST_AUTO_TEST_CASE(AnAnswerToAnEarlierTermRenewsNothing) {
   RecoveredState past;
   past.incarnation = 2;
-  past.hard_state = {9, 7, std::nullopt};
+  past.hard_state.group = 9;
+  past.hard_state.term = 7;
   ReplicaOptions options;
   options.self = ProcessId("b");
   const Time now(seconds(100));
@@ -168,7 +191,8 @@
 BOOST_AUTO_TEST_CASE(NoVoteIsGrantedRightAfterARestart) {
   RecoveredState past;
   past.incarnation = 2;
-  past.hard_state = {9, 7, std::nullopt};
+  past.hard_state.group = 9;
+  past.hard_state.term = 7;
   ReplicaOptions options;
   options.self = ProcessId("b");
   const Time start(seconds(100));
--- a/tests/core/routing/fake_agent.h
+++ b/tests/core/routing/fake_agent.h
@@ -41,6 +41,7 @@
       return;
     }
     const auto& dispatch = std::get<Dispatch>(message);
+    taken_.push_back(dispatch.request);
     if (dispatch.first_index == 0) {
       runs_at_server_[dispatch.request] = {dispatch, false, 0};
     } else {
@@ -55,7 +56,6 @@
     report.zone = ZoneId("z1");
     report.services = {ServiceId("model"), ServiceId("ledger")};
     report.serving = true;
-    report.draining = draining_;
     report.memory_tokens = 100000;
     report.prefill_per_token = std::chrono::microseconds(20);
     return report;
@@ -136,13 +136,13 @@
     outbox_.clear();
   }
 
-  void SetDraining(bool draining) { draining_ = draining; }
-
   std::vector<RequestId> Requests() const {
     std::vector<RequestId> names;
     for (const auto& [name, run] : runs_at_server_) names.push_back(name);
     return names;
   }
+  // All hand-overs so far, in order.
+  const std::vector<RequestId>& taken() const { return taken_; }
   bool Holds(const RequestId& request) const {
     return runs_at_server_.count(request) > 0;
   }
@@ -180,9 +180,9 @@
   std::string name_;
   std::map<RequestId, int>* runs_ = nullptr;
   std::uint64_t incarnation_ = 1;
-  bool draining_ = false;
   std::map<RequestId, FakeRun> runs_at_server_;
   std::deque<AgentToEntry> outbox_;
+  std::vector<RequestId> taken_;
 };
 
 }  // namespace coltsfootfork::testing
--- a/tests/core/scheduling/bounds_test.cc
+++ b/tests/core/scheduling/bounds_test.cc
@@ -15,9 +15,14 @@
 
 BOOST_AUTO_TEST_CASE(ThePeakIsNotTheSumOfFinalSizes) {
   // The first ends after 10 steps: 2 * 10 more tokens by then.
-  BOOST_TEST(PredictPeak({{100, 10}, {50, 1000}}) == 1050);
-  BOOST_TEST(PredictPeak({{1000, 10}, {50, 20}}) == 1070);
-  BOOST_TEST(PredictPeak({}) == 0);
+  BOOST_TEST(PredictPeak({{100, 10}, {50, 1000}}, 1000) == 1050);
+  BOOST_TEST(PredictPeak({{1000, 10}, {50, 20}}, 1000) == 1070);
+  BOOST_TEST(PredictPeak({}, 1000) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ThePeakCountsOnlyWithinTheGivenSteps) {
+  BOOST_TEST(PredictPeak({{100, 10}, {50, 1000}}, 20) == 170);
+  BOOST_TEST(PredictPeak({{100, 30}, {50, 1000}}, 20) == 190);
 }
 
 // Runs the bound for a minute against a server whose gap is 0.5 ms a request.
@@ -58,6 +63,25 @@
   BOOST_TEST(bound.Limit() < 60);
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatIsLateWithAnyBatchKeepsItsBatch) {
+  BatchBound bound;
+  bound.SetTarget(Rank::kUrgent, milliseconds(27));
+  bound.SetTarget(Rank::kDeferrable, milliseconds(27));
+  bound.SetMost(64);
+  Time now;
+  double least = 64;
+  for (int i = 0; i < 6000; ++i) {
+    const auto running = static_cast<std::uint32_t>(bound.Limit());
+    for (std::uint32_t n = 0; n < running; ++n) {
+      bound.CountGap(milliseconds(40));
+    }
+    bound.Observe(running, now);
+    now += milliseconds(20);
+    if (i > 4000) least = std::min(least, bound.Limit());
+  }
+  BOOST_TEST(least > 40);
+}
+
 Configuration Limited(WorkspaceLimits limits) {
   Workspace workspace;
   workspace.id = WorkspaceId("w");
