--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -72,4 +72,15 @@
   return -1;
 }
 
+double ChildProcess::ProcessorTicks() const {
+  std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+  std::string word;
+  double ticks = 0;
+  // User and system time are the 14th and 15th word.
+  for (int i = 1; i <= 15 && stat >> word; ++i) {
+    if (i >= 14) ticks += std::stod(word);
+  }
+  return ticks;
+}
+
 }  // namespace coltsfootfork
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -28,6 +28,8 @@
   int Wait();
   // The number after "NAME:" in the system's status page of the process.
   std::int64_t StatusNumber(const std::string& name) const;
+  // Processor time so far, in the system's clock ticks.
+  double ProcessorTicks() const;
   bool running() const { return pid_ > 0; }
 
  private:
