--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -17,6 +17,8 @@
 // How long the end of a claimed request is offered to the control replicas.
 constexpr std::chrono::milliseconds kSettleTimeout{60000};
 constexpr std::chrono::milliseconds kUnconfirmedRetryAfter{1000};
+// Keeps the hints of 512 servers within 17 MB of an entry's memory.
+constexpr std::size_t kHintBlocksPerServer = 256;
 // Growth of a backlog below this is not worth telling the core.
 constexpr std::uint64_t kBacklogStepBytes = 4096;
 
@@ -24,6 +26,7 @@
   EntryOptions options;
   options.process = settings.process;
   options.zone = settings.zone;
+  options.choice.hint_blocks_per_server = kHintBlocksPerServer;
   return options;
 }
 
