process: Mend a lint finding, and log a failed revision file once

Cause: clang-tidy read a functional conversion as a cast (the one finding of the whole lint run); a revision that could not be written was tried and logged every 50 ms, and demands were counted on every tick though they are sent every two seconds.

--- a/src/shell/process/caller_request_reader.cc
+++ b/src/shell/process/caller_request_reader.cc
@@ -113,8 +113,8 @@
 }
 
 CallerReading ReadPlainCall(const HttpRequest& http) {
-  const std::string_view rest =
-      std::string_view(http.target).substr(kServicesPrefix.size());
+  const std::string_view target = http.target;
+  const std::string_view rest = target.substr(kServicesPrefix.size());
   const std::size_t slash = rest.find('/');
   ReadCallerRequest read;
   read.form = AnswerForm::kPlain;
--- a/src/shell/process/process.cc
+++ b/src/shell/process/process.cc
@@ -183,10 +183,13 @@
 }
 
 void Process::KeepHighestRevision() {
-  if (!revision_file_) return;
+  const Revision highest = follower_.highest_seen();
+  // A revision that could not be kept is logged once, not with each tick.
+  if (!revision_file_ || highest <= tried_to_keep_) return;
+  tried_to_keep_ = highest;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
-        return revision_file_->Keep(follower_.highest_seen());
+        return revision_file_->Keep(highest);
       },
       [](const StorageError& error) {
         Log(LogLevel::kError, Event::kStorageFailed,
@@ -204,6 +207,7 @@
       renewal.server_incarnation != renewed_.server_incarnation ||
       renewal.draining != renewed_.draining;
   if (!changed && renewed_at_ && now < *renewed_at_ + kRenewInterval) return;
+  if (entry_) renewal.demand = entry_->DemandToReport(now);
   renewing_ = true;
   renewed_at_ = now;
   renewed_ = renewal;
@@ -380,7 +384,6 @@
     renewal.roles += renewal.roles.empty() ? role : "," + role;
   }
   if (agent_) agent_->DescribeServer(renewal);
-  if (entry_) renewal.demand = entry_->DemandToReport(MonotonicNow());
   return renewal;
 }
 
--- a/src/shell/process/process.h
+++ b/src/shell/process/process.h
@@ -76,6 +76,7 @@
   std::uint64_t incarnation_;
   MetricsRegistry metrics_;
   std::optional<RevisionFile> revision_file_;
+  Revision tried_to_keep_ = 0;
   ConfigurationFollower follower_;
   PeerHub hub_;
   // Where peers reach this process.
