net: Read bearer tokens in one place, and drop what nothing calls

Cause: a read of the whole change found the bearer token parsed in the entry role and in the administration interface, one Pause in the harness and one in the bench, and two members that nothing calls (PeerHub::Keeps, PeerLink::backlog_bytes). Change: HttpRequest::BearerToken serves both, Pause stands in the harness, the dead members are gone; an empty operator token is refused before its digest is compared.

--- a/bench/path/idle_cost.cc
+++ b/bench/path/idle_cost.cc
@@ -1,8 +1,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <fstream>
 #include <iomanip>
@@ -91,11 +89,6 @@
   return 0;
 }
 
-void Pause(std::chrono::milliseconds pause) {
-  boost::asio::io_context io;
-  boost::asio::steady_timer(io, pause).wait();
-}
-
 void MeasureSize(int others) {
   IdleFleet idle(others);
   Fleet::Await("all have the first revision", [&] { return idle.InForce(1); });
--- a/src/shell/net/http_server.cc
+++ b/src/shell/net/http_server.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptPause{100};
+constexpr std::string_view kBearer = "Bearer ";
 
 }  // namespace
 
@@ -23,6 +24,12 @@
   return {};
 }
 
+std::string_view HttpRequest::BearerToken() const {
+  const std::string_view value = Field("Authorization");
+  if (value.substr(0, kBearer.size()) != kBearer) return {};
+  return value.substr(kBearer.size());
+}
+
 HttpServer::HttpServer(boost::asio::io_context& io,
                        const boost::asio::ip::tcp::endpoint& listen,
                        HttpLimits limits, Handler handler)
--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -28,6 +28,9 @@
 
   // The value of the first field of that name, in any case; else empty.
   std::string_view Field(std::string_view name) const;
+
+  // The bearer token of the Authorization field; empty where there is none.
+  std::string_view BearerToken() const;
 };
 
 struct HttpResponse {
--- a/src/shell/net/peer_link.cc
+++ b/src/shell/net/peer_link.cc
@@ -76,10 +76,6 @@
   Down(LinkEnd::kClosed);
 }
 
-std::size_t PeerLink::backlog_bytes() const {
-  return connection_ ? connection_->backlog_bytes() : 0;
-}
-
 void PeerLink::OnFrame(std::string_view frame) {
   if (!up_ && frame.size() > kMaxHandshakeFrameBytes) {
     return Down(LinkEnd::kNotOfTheFleet);
--- a/src/shell/net/peer_link.h
+++ b/src/shell/net/peer_link.h
@@ -53,7 +53,6 @@
   void Close();
   bool up() const { return up_; }
   const ProcessId& peer() const { return handshake_.peer(); }
-  std::size_t backlog_bytes() const;
   // To see when a closed link has sent its last frame.
   std::weak_ptr<LinkConnection> connection() const { return connection_; }
 
--- a/src/shell/process/admin_api.cc
+++ b/src/shell/process/admin_api.cc
@@ -13,7 +13,6 @@
 constexpr std::chrono::milliseconds kControlTimeout{8000};
 constexpr std::size_t kMaxDocumentBodyBytes = 5U << 20U;
 constexpr std::size_t kMaxChangeIdBytes = 128;
-constexpr std::string_view kBearer = "Bearer ";
 
 HttpLimits AdminLimits() {
   HttpLimits limits;
@@ -69,9 +68,9 @@
 }
 
 bool AdminApi::IsOperator(const HttpRequest& http) const {
-  const std::string_view field = http.Field("Authorization");
-  if (field.substr(0, kBearer.size()) != kBearer) return false;
-  const std::string digest = Sha256Hex(field.substr(kBearer.size()));
+  const std::string_view token = http.BearerToken();
+  if (token.empty()) return false;
+  const std::string digest = Sha256Hex(token);
   return EqualInConstantTime(digest, context_.settings.operator_token_sha256);
 }
 
--- a/src/shell/process/entry_role.cc
+++ b/src/shell/process/entry_role.cc
@@ -11,7 +11,6 @@
 namespace coltsfootfork {
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
 // How long the control replicas may take to answer a claim.
 constexpr std::chrono::milliseconds kClaimTimeout{2500};
 // How long the end of a claimed request is offered to the control replicas.
@@ -30,12 +29,6 @@
   return options;
 }
 
-std::string_view BearerKey(const HttpRequest& http) {
-  std::string_view value = http.Field("Authorization");
-  if (value.substr(0, kBearer.size()) != kBearer) return {};
-  return value.substr(kBearer.size());
-}
-
 }  // namespace
 
 EntryRole::EntryRole(ProcessContext& context, std::uint64_t seed)
@@ -125,7 +118,7 @@
     return Refuse(*exchange, Reason::kNotConfigured,
                   "no configuration is in force yet", kUnconfirmedRetryAfter);
   }
-  const Workspace* workspace = rules->FindWorkspaceByKey(BearerKey(http));
+  const Workspace* workspace = rules->FindWorkspaceByKey(http.BearerToken());
   if (workspace == nullptr) {
     return Refuse(*exchange, Reason::kUnauthenticated,
                   "the bearer key is no workspace's", {});
--- a/src/shell/process/peer_hub.h
+++ b/src/shell/process/peer_hub.h
@@ -50,7 +50,6 @@
   void Keep(const ProcessId& peer, const std::string& address);
   // Gives up the link to the peer, without an on_down.
   void Drop(const ProcessId& peer);
-  bool Keeps(const ProcessId& peer) const { return outgoing_.count(peer) > 0; }
 
   // Sends over the link of that direction. False when it is not up.
   bool Send(const ProcessId& peer, LinkDirection direction, Payload payload);
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -27,12 +27,6 @@
 constexpr std::chrono::milliseconds kPollInterval{20};
 constexpr int kMaxPolls = 1500;
 
-void Pause(std::chrono::milliseconds pause) {
-  boost::asio::io_context io;
-  boost::asio::steady_timer timer(io, pause);
-  timer.wait();
-}
-
 HttpRequest OperatorRequest(const std::string& method,
                             const std::string& target) {
   HttpRequest request;
@@ -44,6 +38,12 @@
 
 }  // namespace
 
+void Pause(std::chrono::milliseconds pause) {
+  boost::asio::io_context io;
+  boost::asio::steady_timer timer(io, pause);
+  timer.wait();
+}
+
 Fleet::Fleet() {
   const char* root = std::getenv("TMPDIR");
   std::string pattern =
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +62,9 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
+// Stands still for so long, for polling.
+void Pause(std::chrono::milliseconds pause);
+
 // A streamed or whole completion request of the workspace "demo". The engine
 // stand-in begins each token with the prompt's first word.
 HttpRequest CompletionRequest(const std::string& model, int max_tokens,
