--- /dev/null
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "coltsfootfork/core/fleet/server_directory.h"
+#include "coltsfootfork/core/fleet/server_load.h"
+
+// What the processes of a fleet say to each other beside what replicas say.
+// Processes are named by the IP:PORT at which they listen for their peers.
+namespace coltsfootfork {
+
+// The first frame of a link: who has opened it.
+struct Hello {
+  // A control process's address, or an entry's name.
+  std::string from;
+  bool is_entry = false;
+};
+
+// What one control process knows, told to all others a few times a second.
+struct ControlDigest {
+  bool has_disk = false;
+  // It has a disk without any group's state, at the fleet's first start.
+  bool may_found = false;
+  // Who founds the group, named by the one process that decides it.
+  std::vector<std::string> founders;
+  std::vector<std::string> voters;
+  // Empty while no leader is known.
+  std::string leader;
+  // All control processes that it has heard of lately.
+  std::vector<std::string> peers;
+  std::uint64_t directory_digest = 0;
+  // The newest committed routing plan that it holds.
+  std::uint64_t plan_version = 0;
+  // Entries that report their load here, and the sum of it.
+  std::uint32_t entries = 0;
+  std::vector<NamedLoad> load;
+};
+
+struct ReplicaPayload {
+  std::string bytes;
+};
+
+// Records that are new to the sender. A token other than zero asks for an
+// acknowledgement.
+struct DirectoryNews {
+  std::uint64_t token = 0;
+  std::vector<ServerRecord> records;
+};
+struct DirectoryAck {
+  std::uint64_t token = 0;
+};
+// Asks for all records.
+struct DirectoryAsk {};
+
+// Asks for the routing plan.
+struct PlanAsk {};
+// A committed plan, as its operator sent it.
+struct PlanDocument {
+  std::uint64_t version = 0;
+  std::string text;
+};
+
+// Work for the leader, from the process that an operator reached.
+struct RelayRequest {
+  std::uint64_t number = 0;
+  // Set to change the plan; empty to read it.
+  std::string document;
+  std::uint64_t version = 0;
+};
+struct RelayReply {
+  std::uint64_t number = 0;
+  // The leader has committed, or read, what was asked; else it could not.
+  bool done = false;
+  PlanDocument plan;
+};
+
+// An entry's state, told to the control processes that it follows.
+struct EntryReport {
+  // The entry counts, and its load, at one control process only.
+  bool is_primary = false;
+  std::uint64_t plan_version = 0;
+  std::uint64_t directory_digest = 0;
+  std::vector<NamedLoad> load;
+};
+
+// What a control process tells the entries that follow it, also to show that
+// it lives.
+struct EntryUpdate {
+  // It has heard a majority of the voters within the last moments.
+  bool is_current = false;
+  std::uint64_t plan_version = 0;
+  std::uint64_t directory_digest = 0;
+  std::uint32_t entries = 0;
+  // What the other entries' calls take.
+  std::vector<NamedLoad> others;
+  std::vector<std::string> peers;
+};
+
+using FleetMessage =
+    std::variant<Hello, ControlDigest, ReplicaPayload, DirectoryNews,
+                 DirectoryAck, DirectoryAsk, PlanAsk, PlanDocument,
+                 RelayRequest, RelayReply, EntryReport, EntryUpdate>;
+
+// As CBOR: a map with the kind's name and its fields.
+std::string EncodeFleetMessage(const FleetMessage& message);
+
+// Nothing where the input is damaged or of an unknown kind. Fields that are not
+// known are skipped, and those that are missing have their defaults.
+std::optional<FleetMessage> DecodeFleetMessage(std::string_view bytes);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/include/coltsfootfork/core/fleet/server_load.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "coltsfootfork/core/types/ids.h"
+
+namespace coltsfootfork {
+
+// What calls take of a server.
+struct ServerLoad {
+  std::uint32_t calls = 0;
+  // Engine memory at the calls' predicted peaks, in tokens.
+  std::uint64_t tokens = 0;
+};
+
+using FleetLoad = std::map<ServerId, ServerLoad>;
+
+// A server's load as a message tells it.
+struct NamedLoad {
+  ServerId server;
+  ServerLoad load;
+};
+
+std::vector<NamedLoad> ToList(const FleetLoad& load);
+FleetLoad ToFleetLoad(const std::vector<NamedLoad>& list);
+void AddLoad(FleetLoad& sum, const FleetLoad& more);
+// What is left of a sum without a part of it, which may be of another moment.
+void TakeLoad(FleetLoad& sum, const FleetLoad& part);
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "coltsfootfork/core/metrics/duration_histogram.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// How a call of the gateway ended, for the caller.
+enum class CallOutcome : std::uint8_t {
+  kServed = 0,
+  // The server's own failure was handed on.
+  kServerFailure,
+  kNoPlan,
+  kNoRoute,
+  kUnknownKey,
+  kNoServer,
+  kNoRoom,
+  kNotRun,
+  // It may have run, and no whole answer came.
+  kBroken,
+  kDeadline,
+  // The answer had begun and could not be made whole.
+  kBrokenOff,
+  kCallerGone,
+};
+
+std::string CallOutcomeName(CallOutcome outcome);
+
+// What the gateway counts beside the outcomes.
+enum class GatewayCount : std::uint8_t {
+  // By the end of the send before.
+  kRepeatAfterNoConnection = 0,
+  kRepeatAfterNotRun,
+  kRepeatAfterServerError,
+  kRepeatAfterBroken,
+  kRepeatWithoutBudget,
+  // Running streams that went on at another server.
+  kCarriedFromBackup,
+  kCarriedByMove,
+  kCarryRefused,
+  kCarryLost,
+  kLogLinesDropped,
+};
+
+// The gateway's counters and its latency, as text for a metrics page.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  void Count(CallOutcome outcome, Duration taken);
+  void Count(GatewayCount count, std::uint64_t times = 1);
+  // A value of now, under a name of the catalogue in docs/operators/metrics.md.
+  void Set(const std::string& name, std::uint64_t value);
+
+  // The Prometheus text format.
+  std::string ToText() const;
+
+ private:
+  std::map<CallOutcome, std::uint64_t> outcomes_;
+  std::map<GatewayCount, std::uint64_t> counts_;
+  std::map<std::string, std::uint64_t> values_;
+  DurationHistogram served_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/core/fleet/server_directory.h"
+#include "coltsfootfork/core/fleet/server_load.h"
+#include "coltsfootfork/core/gateway/routing_plan.h"
+#include "coltsfootfork/core/types/ids.h"
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+struct ServerBoardOptions {
+  ZoneId zone;
+  // The part of an engine's memory that predicted peaks may fill.
+  double memory_share = 0.95;
+  // What a server of another zone counts as further loaded, as a part of a
+  // full one: bytes between zones have a price, full servers a higher one.
+  double other_zone_load = 0.1;
+  // The same for one that has just started and is still slow.
+  double cold_load = 0.15;
+  // First and longest time that a server is passed over after a failure to
+  // reach it.
+  Duration first_avoid = std::chrono::milliseconds(400);
+  Duration longest_avoid = std::chrono::seconds(6);
+};
+
+// What a call needs of a server.
+struct ServerQuery {
+  ServiceId service;
+  // Null for plain services.
+  const EngineProfile* engine = nullptr;
+  // Predicted peak of the call's memory.
+  std::uint64_t tokens = 0;
+  // Servers that were tried already.
+  std::set<ServerId> excluded;
+};
+
+struct ServerChoice {
+  ServerId id;
+  std::string address;
+  // The prediction leaves room for the call.
+  bool fits = true;
+};
+
+// What one entry knows of the servers: the directory, its own calls under way,
+// those of the other entries as last told, and how calls ended lately. Loads
+// that others tell are some hundred milliseconds old; near ties are broken by
+// lot, so that entries with the same view do not all choose the same server.
+class ServerBoard {
+ public:
+  ServerBoard(const ServerBoardOptions& options, std::uint64_t seed);
+
+  // Takes over what the directory says now.
+  void Follow(const ServerDirectory& directory, Time now);
+  // What the other entries' calls take; replaces what was known.
+  void SetOthers(FleetLoad others);
+
+  void Begin(const ServerId& id, std::uint64_t tokens);
+  void End(const ServerId& id, std::uint64_t tokens);
+  // A call was answered by the server itself, with a failure or not.
+  void OnAnswered(const ServerId& id, bool failed);
+  // The server could not be reached, or fell silent.
+  void OnUnreachable(const ServerId& id, Time now);
+
+  // The best server that may get new calls, or nothing.
+  std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
+
+  // Whether the server may get new calls, by the directory.
+  bool IsServing(const ServerId& id) const;
+  const ServerRecord* Find(const ServerId& id) const;
+  FleetLoad OwnLoad() const;
+
+ private:
+  struct Server {
+    ServerRecord record;
+    ServerLoad own;
+    ServerLoad others;
+    Time cold_until;
+    Time avoid_until;
+    Duration avoid{0};
+    // Share of failed answers, lately.
+    double failures = 0;
+  };
+
+  double LoadOf(const Server& server, const ServerQuery& query, Time now) const;
+  bool Fits(const Server& server, const ServerQuery& query) const;
+
+  ServerBoardOptions options_;
+  std::map<ServerId, Server> servers_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace coltsfootfork
--- a/src/cli/help_pages.cc
+++ b/src/cli/help_pages.cc
@@ -10,13 +10,14 @@
   coltsfootfork --help
 
 Commands:
-  run      Runs one process of the system.
-  check    Checks a settings or configuration file.
-  apply    Replaces the configuration in force.
-  diff     Shows what a configuration file would change.
-  replay   Checks a recorded trace against stated outcomes.
-  status   Shows every process and what it has in force.
-  version  Prints the version.
+  run       Runs one process of the system.
+  platform  Runs one process of the system on the users' platform.
+  check     Checks a settings or configuration file.
+  apply     Replaces the configuration in force.
+  diff      Shows what a configuration file would change.
+  replay    Checks a recorded trace against stated outcomes.
+  status    Shows every process and what it has in force.
+  version   Prints the version.
 
 "coltsfootfork <command> --help" shows a command's own page.
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -5,6 +5,7 @@
 
 #include "cli/commands.h"
 #include "cli/help_pages.h"
+#include "platform_command.h"
 #include "shell/log/event.h"
 
 namespace coltsfootfork {
@@ -40,9 +41,12 @@
 }  // namespace coltsfootfork
 
 int main(int argc, char** argv) {
-  coltsfootfork::EndLogThreads();
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  // There the log library's threads cannot be joined; the process ends without.
+  const bool on_platform = !words.empty() && words.front() == "platform";
+  if (!on_platform) coltsfootfork::EndLogThreads();
   try {
-    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (on_platform) return coltsfootfork::platform::ExecutePlatform(words);
     return static_cast<int>(coltsfootfork::Main(words));
   } catch (const std::exception& error) {
     std::cerr << "coltsfootfork: " << error.what() << "\n";
--- /dev/null
+++ b/src/core/fleet/fleet_fields.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "coltsfootfork/core/fleet/fleet_message.h"
+#include "core/control_state/field_archive.h"
+
+// The names of the fields of fleet messages. A name must keep its meaning; a
+// new field needs a default.
+namespace coltsfootfork {
+
+inline ServerState LastValue(ServerState /*kind*/) {
+  return ServerState::kGone;
+}
+
+template <typename A>
+void Fields(A& archive, ServerRecord& m) {
+  archive("id", m.id);
+  archive("born", m.born);
+  archive("sequence", m.sequence);
+  archive("service", m.service);
+  archive("address", m.address);
+  archive("zone", m.zone);
+  archive("slots", m.slots);
+  archive("state", m.state);
+  archive("cold_left", m.cold_left);
+}
+
+template <typename A>
+void Fields(A& archive, NamedLoad& m) {
+  archive("s", m.server);
+  archive("c", m.load.calls);
+  archive("t", m.load.tokens);
+}
+
+template <typename A>
+void Fields(A& archive, Hello& m) {
+  archive("from", m.from);
+  archive("is_entry", m.is_entry);
+}
+
+template <typename A>
+void Fields(A& archive, ControlDigest& m) {
+  archive("has_disk", m.has_disk);
+  archive("may_found", m.may_found);
+  archive("founders", m.founders);
+  archive("voters", m.voters);
+  archive("leader", m.leader);
+  archive("peers", m.peers);
+  archive("directory", m.directory_digest);
+  archive("plan", m.plan_version);
+  archive("entries", m.entries);
+  archive("load", m.load);
+}
+
+template <typename A>
+void Fields(A& archive, ReplicaPayload& m) {
+  archive("bytes", BytesRef{m.bytes});
+}
+
+template <typename A>
+void Fields(A& archive, DirectoryNews& m) {
+  archive("token", m.token);
+  archive("records", m.records);
+}
+
+template <typename A>
+void Fields(A& archive, DirectoryAck& m) {
+  archive("token", m.token);
+}
+
+template <typename A>
+void Fields(A& /*archive*/, DirectoryAsk& /*m*/) {}
+
+template <typename A>
+void Fields(A& /*archive*/, PlanAsk& /*m*/) {}
+
+template <typename A>
+void Fields(A& archive, PlanDocument& m) {
+  archive("version", m.version);
+  archive("text", BytesRef{m.text});
+}
+
+template <typename A>
+void Fields(A& archive, RelayRequest& m) {
+  archive("number", m.number);
+  archive("document", BytesRef{m.document});
+  archive("version", m.version);
+}
+
+template <typename A>
+void Fields(A& archive, RelayReply& m) {
+  archive("number", m.number);
+  archive("done", m.done);
+  archive("plan", m.plan);
+}
+
+template <typename A>
+void Fields(A& archive, EntryReport& m) {
+  archive("is_primary", m.is_primary);
+  archive("plan", m.plan_version);
+  archive("directory", m.directory_digest);
+  archive("load", m.load);
+}
+
+template <typename A>
+void Fields(A& archive, EntryUpdate& m) {
+  archive("is_current", m.is_current);
+  archive("plan", m.plan_version);
+  archive("directory", m.directory_digest);
+  archive("entries", m.entries);
+  archive("others", m.others);
+  archive("peers", m.peers);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/fleet/plan_register.cc
@@ -0,0 +1,31 @@
+#include "coltsfootfork/core/fleet/plan_register.h"
+
+#include <utility>
+
+namespace coltsfootfork {
+
+std::string PlanRegister::EncodeCommand(const PlanDocument& document) {
+  return EncodeFleetMessage(document);
+}
+
+std::string PlanRegister::Apply(const std::string& command) {
+  Take(command);
+  return {};
+}
+
+std::string PlanRegister::Snapshot() const { return EncodeCommand(document_); }
+
+void PlanRegister::Restore(const std::string& snapshot) { Take(snapshot); }
+
+void PlanRegister::Take(const std::string& bytes) {
+  auto message = DecodeFleetMessage(bytes);
+  // Commands are written by EncodeCommand alone; one that is damaged would have
+  // failed the log's checksum.
+  if (!message) return;
+  auto* document = std::get_if<PlanDocument>(&*message);
+  if (document == nullptr || document->version <= document_.version) return;
+  document_ = std::move(*document);
+  if (on_change_) on_change_();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/fleet/server_directory.cc
@@ -0,0 +1,149 @@
+#include "coltsfootfork/core/fleet/server_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace coltsfootfork {
+namespace {
+
+// Longer than any heartbeat can be under way.
+constexpr Duration kKeepGone = std::chrono::seconds(120);
+// A server that nobody heard for so long has ended without a word. Longer than
+// a server can be cut off from control and still serve.
+constexpr Duration kKeepSilent = std::chrono::minutes(10);
+
+// What a record adds to the digest. One that has left adds nothing, so that it
+// makes no difference when it is forgotten.
+std::uint64_t HashOf(const ServerRecord& record) {
+  if (record.state == ServerState::kGone) return 0;
+  std::string text = record.id.value();
+  text += '\n';
+  text += std::to_string(record.born);
+  text += '\n';
+  text += record.address;
+  text += '\n';
+  text += record.service.value();
+  text += static_cast<char>('0' + static_cast<int>(record.state));
+  return XXH64(text.data(), text.size(), 0);
+}
+
+bool IsNews(const ServerRecord& before, const ServerRecord& after) {
+  return before.born != after.born || before.state != after.state ||
+         before.address != after.address || before.service != after.service;
+}
+
+}  // namespace
+
+bool ServerDirectory::Merge(const ServerRecord& record, Time now) {
+  const auto found = entries_.find(record.id);
+  if (found == entries_.end()) {
+    ServerRecord first = record;
+    if (IsSuperseded(record)) first.state = ServerState::kGone;
+    SupersedeAddress(first, now);
+    Put(first, now);
+    return true;
+  }
+  const ServerRecord& known = found->second.record;
+  if (record.born < known.born) return false;
+  ServerRecord merged = record;
+  if (record.born == known.born) {
+    if (record.sequence < known.sequence) {
+      // Late, but leaving is never taken back.
+      if (record.state <= known.state) return false;
+      merged = known;
+    }
+    merged.state = std::max(record.state, known.state);
+  } else if (IsSuperseded(record)) {
+    merged.state = ServerState::kGone;
+  }
+  if (!IsNews(known, merged)) {
+    const bool later = merged.sequence > known.sequence;
+    found->second.record = merged;
+    if (later) found->second.heard = now;
+    return false;
+  }
+  SupersedeAddress(merged, now);
+  Put(merged, now);
+  return true;
+}
+
+bool ServerDirectory::MarkGone(const ServerId& id, std::uint64_t born,
+                               Time now) {
+  const auto found = entries_.find(id);
+  ServerRecord record;
+  record.id = id;
+  record.born = born;
+  if (found != entries_.end()) {
+    if (born != 0 && born < found->second.record.born) return false;
+    if (born == 0 || born == found->second.record.born) {
+      record = found->second.record;
+    }
+  }
+  record.state = ServerState::kGone;
+  if (found != entries_.end() && !IsNews(found->second.record, record)) {
+    return false;
+  }
+  Put(record, now);
+  return true;
+}
+
+void ServerDirectory::Expire(Time now) {
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    ServerRecord& record = entry->second.record;
+    const bool gone = record.state == ServerState::kGone;
+    if (gone && now >= entry->second.changed + kKeepGone) {
+      entry = entries_.erase(entry);
+      continue;
+    }
+    if (!gone && now >= entry->second.heard + kKeepSilent) {
+      ServerRecord ended = record;
+      ended.state = ServerState::kGone;
+      Put(ended, now);
+    }
+    ++entry;
+  }
+}
+
+const ServerDirectory::Entry* ServerDirectory::Find(const ServerId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<ServerRecord> ServerDirectory::Records() const {
+  std::vector<ServerRecord> records;
+  records.reserve(entries_.size());
+  for (const auto& [id, entry] : entries_) records.push_back(entry.record);
+  return records;
+}
+
+void ServerDirectory::Put(const ServerRecord& record, Time now) {
+  const auto found = entries_.find(record.id);
+  if (found != entries_.end()) digest_ ^= HashOf(found->second.record);
+  entries_[record.id] = {record, now, now};
+  digest_ ^= HashOf(record);
+}
+
+bool ServerDirectory::IsSuperseded(const ServerRecord& record) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& one) {
+    const ServerRecord& other = one.second.record;
+    return other.id != record.id && other.address == record.address &&
+           other.born > record.born && other.state != ServerState::kGone;
+  });
+}
+
+void ServerDirectory::SupersedeAddress(const ServerRecord& record, Time now) {
+  if (record.state == ServerState::kGone) return;
+  for (auto& [id, entry] : entries_) {
+    ServerRecord& other = entry.record;
+    const bool older = id != record.id && other.address == record.address &&
+                       other.state != ServerState::kGone &&
+                       other.born < record.born;
+    if (!older) continue;
+    ServerRecord ended = other;
+    ended.state = ServerState::kGone;
+    Put(ended, now);
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/fleet/server_load.cc
@@ -0,0 +1,36 @@
+#include "coltsfootfork/core/fleet/server_load.h"
+
+#include <algorithm>
+
+namespace coltsfootfork {
+
+std::vector<NamedLoad> ToList(const FleetLoad& load) {
+  std::vector<NamedLoad> list;
+  list.reserve(load.size());
+  for (const auto& [server, one] : load) list.push_back({server, one});
+  return list;
+}
+
+FleetLoad ToFleetLoad(const std::vector<NamedLoad>& list) {
+  FleetLoad load;
+  for (const NamedLoad& one : list) load[one.server] = one.load;
+  return load;
+}
+
+void AddLoad(FleetLoad& sum, const FleetLoad& more) {
+  for (const auto& [server, load] : more) {
+    sum[server].calls += load.calls;
+    sum[server].tokens += load.tokens;
+  }
+}
+
+void TakeLoad(FleetLoad& sum, const FleetLoad& part) {
+  for (const auto& [server, load] : part) {
+    const auto found = sum.find(server);
+    if (found == sum.end()) continue;
+    found->second.calls -= std::min(found->second.calls, load.calls);
+    found->second.tokens -= std::min(found->second.tokens, load.tokens);
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/gateway/gateway_metrics.cc
@@ -0,0 +1,121 @@
+#include "coltsfootfork/core/gateway/gateway_metrics.h"
+
+#include <vector>
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+// From the fastest plain answer to the longest stream.
+std::vector<Duration> Bounds() {
+  return {milliseconds(10),    milliseconds(30),   milliseconds(100),
+          milliseconds(300),   milliseconds(1000), milliseconds(3000),
+          milliseconds(10000), milliseconds(30000)};
+}
+
+const char* CountName(GatewayCount count) {
+  switch (count) {
+    case GatewayCount::kRepeatAfterNoConnection:
+      return "repeat_after_no_connection";
+    case GatewayCount::kRepeatAfterNotRun:
+      return "repeat_after_not_run";
+    case GatewayCount::kRepeatAfterServerError:
+      return "repeat_after_server_error";
+    case GatewayCount::kRepeatAfterBroken:
+      return "repeat_after_broken";
+    case GatewayCount::kRepeatWithoutBudget:
+      return "repeat_without_budget";
+    case GatewayCount::kCarriedFromBackup:
+      return "carried_from_backup";
+    case GatewayCount::kCarriedByMove:
+      return "carried_by_move";
+    case GatewayCount::kCarryRefused:
+      return "carry_refused";
+    case GatewayCount::kCarryLost:
+      return "carry_lost";
+    case GatewayCount::kLogLinesDropped:
+      return "log_lines_dropped";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+std::string CallOutcomeName(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kServed:
+      return "served";
+    case CallOutcome::kServerFailure:
+      return "server_failure";
+    case CallOutcome::kNoPlan:
+      return "no_plan";
+    case CallOutcome::kNoRoute:
+      return "no_route";
+    case CallOutcome::kUnknownKey:
+      return "unknown_key";
+    case CallOutcome::kNoServer:
+      return "no_server";
+    case CallOutcome::kNoRoom:
+      return "no_room";
+    case CallOutcome::kNotRun:
+      return "not_run";
+    case CallOutcome::kBroken:
+      return "broken";
+    case CallOutcome::kDeadline:
+      return "deadline";
+    case CallOutcome::kBrokenOff:
+      return "broken_off";
+    case CallOutcome::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+GatewayMetrics::GatewayMetrics() : served_(Bounds()) {}
+
+void GatewayMetrics::Count(CallOutcome outcome, Duration taken) {
+  ++outcomes_[outcome];
+  if (outcome == CallOutcome::kServed) served_.Observe(taken);
+}
+
+void GatewayMetrics::Count(GatewayCount count, std::uint64_t times) {
+  counts_[count] += times;
+}
+
+void GatewayMetrics::Set(const std::string& name, std::uint64_t value) {
+  values_[name] = value;
+}
+
+std::string GatewayMetrics::ToText() const {
+  std::string text = "# TYPE coltsfootfork_gateway_calls_total counter\n";
+  for (const auto& [outcome, count] : outcomes_) {
+    text += "coltsfootfork_gateway_calls_total{outcome=\"" +
+            CallOutcomeName(outcome) + "\"} " + std::to_string(count) + "\n";
+  }
+  text += "# TYPE coltsfootfork_gateway_events_total counter\n";
+  for (const auto& [name, count] : counts_) {
+    text += std::string("coltsfootfork_gateway_events_total{event=\"") +
+            CountName(name) + "\"} " + std::to_string(count) + "\n";
+  }
+  for (const auto& [name, value] : values_) {
+    text += "# TYPE coltsfootfork_" + name + " gauge\ncoltsfootfork_" + name +
+            " " + std::to_string(value) + "\n";
+  }
+  text += "# TYPE coltsfootfork_gateway_served_seconds histogram\n";
+  const std::vector<Duration> bounds = Bounds();
+  for (std::size_t i = 0; i < bounds.size(); ++i) {
+    const double seconds = std::chrono::duration<double>(bounds[i]).count();
+    text += "coltsfootfork_gateway_served_seconds_bucket{le=\"" +
+            std::to_string(seconds) + "\"} " +
+            std::to_string(served_.CountUpTo(i)) + "\n";
+  }
+  const std::string count = std::to_string(served_.count());
+  text += "coltsfootfork_gateway_served_seconds_bucket{le=\"+Inf\"} " + count +
+          "\ncoltsfootfork_gateway_served_seconds_sum " +
+          std::to_string(std::chrono::duration<double>(served_.sum()).count()) +
+          "\ncoltsfootfork_gateway_served_seconds_count " + count + "\n";
+  return text;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/gateway/plan_index.cc
@@ -0,0 +1,67 @@
+#include "coltsfootfork/core/gateway/plan_index.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace coltsfootfork {
+namespace {
+
+std::string NormalHost(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  std::string normal(host.substr(0, colon));
+  std::transform(
+      normal.begin(), normal.end(), normal.begin(),
+      [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return normal;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+PlanIndex::PlanIndex() : PlanIndex(std::make_shared<const RoutingPlan>()) {}
+
+PlanIndex::PlanIndex(std::shared_ptr<const RoutingPlan> plan)
+    : plan_(std::move(plan)) {
+  for (const PlanRoute& route : plan_->routes) {
+    routes_[NormalHost(route.host)][route.path_prefix] = &route;
+  }
+  for (const PlanWorkspace& workspace : plan_->workspaces) {
+    for (const std::string& key : workspace.keys) {
+      workspaces_[key] = &workspace;
+    }
+  }
+  for (const PlanService& service : plan_->services) {
+    services_[service.name] = &service;
+  }
+}
+
+const PlanRoute* PlanIndex::FindRoute(std::string_view host,
+                                      std::string_view target) const {
+  const auto of_host = routes_.find(NormalHost(host));
+  if (of_host == routes_.end()) return nullptr;
+  std::string_view path = PathOf(target);
+  // Prefixes end with a slash: only those places need a look.
+  for (std::size_t end = path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+    const auto found =
+        of_host->second.find(std::string(path.substr(0, end + 1)));
+    if (found != of_host->second.end()) return found->second;
+  }
+  return nullptr;
+}
+
+const PlanWorkspace* PlanIndex::FindWorkspace(const std::string& key) const {
+  const auto found = workspaces_.find(key);
+  return found == workspaces_.end() ? nullptr : found->second;
+}
+
+const PlanService* PlanIndex::FindService(const ServiceId& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/gateway/repeat_budget.cc
@@ -0,0 +1,39 @@
+#include "coltsfootfork/core/gateway/repeat_budget.h"
+
+namespace coltsfootfork {
+
+void RepeatBudget::CountFirst(const ServiceId& service, Time now) {
+  ++PartAt(service, now).firsts;
+}
+
+void RepeatBudget::CountRepeat(const ServiceId& service, Time now) {
+  ++PartAt(service, now).repeats;
+}
+
+bool RepeatBudget::MayRepeat(const ServiceId& service, Time now) {
+  PartAt(service, now);
+  const std::int64_t oldest =
+      NumberOf(now) - static_cast<std::int64_t>(kParts) + 1;
+  double firsts = 0;
+  double repeats = 0;
+  for (const Part& part : services_[service]) {
+    if (part.number < oldest) continue;
+    firsts += part.firsts;
+    repeats += part.repeats;
+  }
+  return repeats + 1 <= options_.ratio * firsts;
+}
+
+RepeatBudget::Part& RepeatBudget::PartAt(const ServiceId& service, Time now) {
+  const std::int64_t number = NumberOf(now);
+  Part& part = services_[service][static_cast<std::size_t>(number) % kParts];
+  if (part.number != number) part = {number, 0, 0};
+  return part;
+}
+
+std::int64_t RepeatBudget::NumberOf(Time now) const {
+  const Duration part = options_.window / static_cast<int>(kParts);
+  return now.time_since_epoch() / part;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/gateway/server_board.cc
@@ -0,0 +1,169 @@
+#include "coltsfootfork/core/gateway/server_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootfork {
+namespace {
+
+// Weight of the newest answer in the share of failures.
+constexpr double kNewestWeight = 0.1;
+// How much a server that fails all its calls counts as further loaded.
+constexpr double kFailureLoad = 3.0;
+// Differences of load below this are settled by lot.
+constexpr double kNearTie = 0.02;
+// Slots that a plain server's queue holds beyond those at work, as a multiple.
+constexpr double kQueueOfSlots = 2.0;
+
+}  // namespace
+
+ServerBoard::ServerBoard(const ServerBoardOptions& options, std::uint64_t seed)
+    : options_(options), random_(seed) {}
+
+void ServerBoard::Follow(const ServerDirectory& directory, Time now) {
+  for (const auto& [id, entry] : directory.entries()) {
+    Server& server = servers_[id];
+    if (server.record.born != entry.record.born) {
+      // Calls under way keep their count until they end.
+      const ServerLoad own = server.own;
+      server = Server();
+      server.own = own;
+      server.cold_until = now + entry.record.cold_left;
+    }
+    server.record = entry.record;
+  }
+  for (auto server = servers_.begin(); server != servers_.end();) {
+    const bool known = directory.Find(server->first) != nullptr;
+    if (known || server->second.own.calls > 0) {
+      ++server;
+    } else {
+      server = servers_.erase(server);
+    }
+  }
+}
+
+void ServerBoard::SetOthers(FleetLoad others) {
+  for (auto& [id, server] : servers_) {
+    const auto found = others.find(id);
+    server.others = found == others.end() ? ServerLoad() : found->second;
+  }
+}
+
+void ServerBoard::Begin(const ServerId& id, std::uint64_t tokens) {
+  ServerLoad& own = servers_[id].own;
+  ++own.calls;
+  own.tokens += tokens;
+}
+
+void ServerBoard::End(const ServerId& id, std::uint64_t tokens) {
+  ServerLoad& own = servers_[id].own;
+  own.calls -= std::min<std::uint32_t>(own.calls, 1);
+  own.tokens -= std::min(own.tokens, tokens);
+}
+
+void ServerBoard::OnAnswered(const ServerId& id, bool failed) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  server.avoid = Duration(0);
+  server.avoid_until = Time();
+  server.failures += kNewestWeight * ((failed ? 1.0 : 0.0) - server.failures);
+}
+
+void ServerBoard::OnUnreachable(const ServerId& id, Time now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  // Calls that fail together count once.
+  if (now < server.avoid_until) return;
+  server.avoid = server.avoid == Duration(0)
+                     ? options_.first_avoid
+                     : std::min(2 * server.avoid, options_.longest_avoid);
+  server.avoid_until = now + server.avoid;
+}
+
+std::optional<ServerChoice> ServerBoard::Pick(const ServerQuery& query,
+                                              Time now) {
+  struct Candidate {
+    const Server* server;
+    double load;
+    bool fits;
+  };
+  std::vector<Candidate> candidates;
+  bool any_reachable = false;
+  for (const auto& [id, server] : servers_) {
+    const bool serves = server.record.state == ServerState::kReady &&
+                        server.record.service == query.service &&
+                        query.excluded.count(id) == 0;
+    if (!serves) continue;
+    const bool reachable = now >= server.avoid_until;
+    // A server that is passed over still serves better than none.
+    if (!reachable && any_reachable) continue;
+    if (reachable && !any_reachable) candidates.clear();
+    any_reachable = any_reachable || reachable;
+    candidates.push_back(
+        {&server, LoadOf(server, query, now), Fits(server, query)});
+  }
+  if (candidates.empty()) return std::nullopt;
+  const auto best = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.load < b.load; });
+  const double limit = best->load + kNearTie;
+  std::vector<const Candidate*> ties;
+  for (const Candidate& one : candidates) {
+    if (one.load <= limit) ties.push_back(&one);
+  }
+  std::uniform_int_distribution<std::size_t> lot(0, ties.size() - 1);
+  const Candidate& chosen = *ties[lot(random_)];
+  return ServerChoice{chosen.server->record.id, chosen.server->record.address,
+                      chosen.fits};
+}
+
+bool ServerBoard::IsServing(const ServerId& id) const {
+  const ServerRecord* record = Find(id);
+  return record != nullptr && record->state == ServerState::kReady;
+}
+
+const ServerRecord* ServerBoard::Find(const ServerId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second.record;
+}
+
+FleetLoad ServerBoard::OwnLoad() const {
+  FleetLoad load;
+  for (const auto& [id, server] : servers_) {
+    if (server.own.calls > 0) load[id] = server.own;
+  }
+  return load;
+}
+
+double ServerBoard::LoadOf(const Server& server, const ServerQuery& query,
+                           Time now) const {
+  const double calls = server.own.calls + server.others.calls + 1;
+  const double slots = std::max<std::uint32_t>(server.record.slots, 1);
+  double load = calls / slots;
+  if (query.engine != nullptr && query.engine->memory_tokens > 0) {
+    const auto tokens = static_cast<double>(
+        server.own.tokens + server.others.tokens + query.tokens);
+    load = std::max(load,
+                    tokens / static_cast<double>(query.engine->memory_tokens));
+  }
+  load += kFailureLoad * server.failures;
+  if (server.record.zone != options_.zone) load += options_.other_zone_load;
+  if (now < server.cold_until) load += options_.cold_load;
+  return load;
+}
+
+bool ServerBoard::Fits(const Server& server, const ServerQuery& query) const {
+  const std::uint32_t calls = server.own.calls + server.others.calls;
+  if (query.engine == nullptr) {
+    return calls < kQueueOfSlots * server.record.slots;
+  }
+  if (calls >= server.record.slots) return false;
+  const auto tokens = static_cast<double>(server.own.tokens +
+                                          server.others.tokens + query.tokens);
+  return tokens <= options_.memory_share *
+                       static_cast<double>(query.engine->memory_tokens);
+}
+
+}  // namespace coltsfootfork
--- a/src/shell/process/process_context.cc
+++ b/src/shell/clock/monotonic_now.cc
@@ -1,4 +1,4 @@
-#include "shell/process/process_context.h"
+#include "shell/clock/monotonic_now.h"
 
 #include <time.h>
 
--- /dev/null
+++ b/src/shell/fleet/control_node.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/core/fleet/fleet_message.h"
+#include "coltsfootfork/core/fleet/founding_round.h"
+#include "coltsfootfork/core/fleet/plan_register.h"
+#include "coltsfootfork/core/fleet/server_directory.h"
+#include "coltsfootfork/core/fleet/voter_sync.h"
+#include "shell/fleet/frame_link.h"
+#include "shell/fleet/replica_host.h"
+
+namespace coltsfootfork {
+
+struct ControlNodeOptions {
+  // IP:PORT at which peers and entries reach this process; also its name.
+  std::string self;
+  ZoneId zone;
+  // Addresses of some control processes, this one perhaps among them; they may
+  // be out of date.
+  std::vector<std::string> seeds;
+  // Empty for a process that never votes.
+  std::string data_folder;
+  // The whole fleet starts for the first time.
+  bool is_first_start = false;
+  std::uint64_t seed = 0;
+};
+
+// A control process: it keeps the directory of backend servers with its peers,
+// holds a replica of the routing plan where it has a disk, and tells both to
+// the entries that follow it.
+//
+// The directory is soft state. A server's leaving is acknowledged once a
+// majority of the voters knows of it; a process that has not compared notes
+// with a majority lately tells its entries so, and they go elsewhere. The plan
+// is replicated; any process takes changes and reads, and asks the leader.
+class ControlNode {
+ public:
+  // Listens at once; throws boost::system::system_error when it cannot.
+  ControlNode(boost::asio::io_context& io, ControlNodeOptions options,
+              Time now);
+  ControlNode(const ControlNode&) = delete;
+  ControlNode& operator=(const ControlNode&) = delete;
+
+  // Further control processes that may be there.
+  void AddSeeds(const std::vector<std::string>& seeds);
+
+  // Whether the change is committed, or is overtaken by one that is.
+  using PutDone = std::function<void(bool accepted)>;
+  void PutPlan(PlanDocument document, PutDone done);
+  // The newest committed plan; nothing where that cannot be known now.
+  using GetDone = std::function<void(std::optional<PlanDocument> plan)>;
+  void GetPlan(GetDone done);
+  // A heartbeat, or a server's leaving. True once everyone will hear of it.
+  using BeatDone = std::function<void(bool acknowledged)>;
+  void OnHeartbeat(const ServerRecord& record, BeatDone done);
+  void OnDeregister(const ServerId& id, std::uint64_t born, BeatDone done);
+
+  bool is_leader() const;
+  const ServerDirectory& directory() const { return directory_; }
+  const PlanDocument& plan() const { return plan_; }
+  std::size_t entry_count() const;
+
+ private:
+  struct Peer {
+    std::shared_ptr<FrameLink> link;
+    std::optional<ControlDigest> digest;
+    Time digest_at;
+    Time next_connect;
+    Time last_ask;
+  };
+  struct Entry {
+    std::shared_ptr<FrameLink> link;
+    std::string name;
+    bool is_primary = false;
+    FleetLoad load;
+    std::uint64_t plan_version = 0;
+    std::uint64_t plan_sent = 0;
+    Time plan_sent_at;
+  };
+  // A leaving that waits for a majority.
+  struct WaitingNews {
+    std::set<std::string> acknowledged;
+    BeatDone done;
+    Time until;
+  };
+  // A change or a read that waits for the leader.
+  struct WaitingRelay {
+    RelayRequest request;
+    std::function<void(const RelayReply& reply)> done;
+    Time until;
+    Time next_try;
+  };
+
+  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
+  void OnIncoming(std::uint64_t number, std::string frame);
+  void Know(const std::string& peer);
+  void Connect(const std::string& peer, Time now);
+  void SendTo(const std::string& peer, const FleetMessage& message);
+
+  void On(const std::string& from, ControlDigest digest, Time now);
+  void On(const std::string& from, const ReplicaPayload& payload, Time now);
+  void On(const std::string& from, const DirectoryNews& news, Time now);
+  void On(const std::string& from, const DirectoryAck& ack, Time now);
+  void On(const std::string& from, const DirectoryAsk& ask, Time now);
+  void On(const std::string& from, const PlanAsk& ask, Time now);
+  void On(const std::string& from, const PlanDocument& document, Time now);
+  void On(const std::string& from, const RelayRequest& request, Time now);
+  void On(const std::string& from, const RelayReply& reply, Time now);
+  template <typename Other>
+  void On(const std::string& /*from*/, const Other& /*message*/, Time /*now*/) {
+  }
+  void OnEntryReport(Entry& entry, const EntryReport& report, Time now);
+
+  void Spread(const std::vector<ServerRecord>& records, BeatDone done,
+              Time now);
+  void TellEntries(const std::vector<ServerRecord>& records);
+  void TakePlan(const PlanDocument& document);
+  void OfferPlan(Entry& entry, Time now);
+  void Ask(RelayRequest request,
+           std::function<void(const RelayReply& reply)> done);
+  void TryRelay(std::uint64_t number, Time now);
+  void LeadRelay(const RelayRequest& request,
+                 std::function<void(const RelayReply& reply)> done);
+
+  void TickReplica();
+  void TickPeers();
+  void StartReplica(Time now);
+  ControlDigest Digest(Time now);
+  EntryUpdate UpdateFor(const Entry& entry, Time now) const;
+  FleetLoad OwnEntriesLoad() const;
+  void ExpireWaiting(Time now);
+  std::string Leader(Time now) const;
+
+  boost::asio::io_context& io_;
+  ControlNodeOptions options_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer replica_timer_;
+  boost::asio::steady_timer peer_timer_;
+  PlanRegister register_;
+  std::unique_ptr<ReplicaHost> replica_;
+  FoundingRound founding_;
+  VoterSync sync_;
+  ServerDirectory directory_;
+  PlanDocument plan_;
+  std::map<std::string, Peer> peers_;
+  // Accepted links; those of entries have an Entry.
+  struct Incoming {
+    std::shared_ptr<FrameLink> link;
+    std::string peer;
+    std::optional<Entry> entry;
+  };
+  std::map<std::uint64_t, Incoming> incoming_;
+  std::uint64_t next_number_ = 1;
+  Time next_refresh_;
+  std::map<std::uint64_t, WaitingNews> waiting_news_;
+  std::map<std::uint64_t, WaitingRelay> waiting_relays_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/fleet/control_node_plan.cc
@@ -0,0 +1,193 @@
+#include <algorithm>
+#include <utility>
+
+#include "shell/clock/monotonic_now.h"
+#include "shell/fleet/control_node.h"
+#include "shell/log/event.h"
+
+// The part of ControlNode that keeps the replicated routing plan.
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An operator waits a second for an answer; what waits for a leader is tried
+// again until then.
+constexpr milliseconds kRelayTimeout{900};
+constexpr milliseconds kRelayAgain{100};
+constexpr milliseconds kRelayLost{400};
+// A plan that an entry has not taken is sent again after this, and to entries
+// that another process serves first.
+constexpr milliseconds kPlanAgain{400};
+
+}  // namespace
+
+bool ControlNode::is_leader() const {
+  return replica_ && replica_->HoldsLease(MonotonicNow());
+}
+
+std::string ControlNode::Leader(Time now) const {
+  if (replica_ && replica_->is_running()) {
+    if (replica_->HoldsLease(now)) return options_.self;
+    return replica_->leader();
+  }
+  // The newest word of a process that says so of itself, or of any other.
+  std::string leader;
+  Time newest;
+  for (const auto& [name, peer] : peers_) {
+    if (!peer.digest || peer.digest->leader.empty()) continue;
+    if (peer.digest_at < newest) continue;
+    newest = peer.digest_at;
+    leader = peer.digest->leader;
+  }
+  return leader;
+}
+
+void ControlNode::PutPlan(PlanDocument document, PutDone done) {
+  // What is committed with a version as high settles the matter.
+  if (document.version <= plan_.version) return done(true);
+  RelayRequest request;
+  request.version = document.version;
+  request.document = std::move(document.text);
+  Ask(std::move(request),
+      [done = std::move(done)](const RelayReply& reply) { done(reply.done); });
+}
+
+void ControlNode::GetPlan(GetDone done) {
+  Ask(RelayRequest(), [done = std::move(done)](const RelayReply& reply) {
+    if (!reply.done) return done(std::nullopt);
+    done(reply.plan);
+  });
+}
+
+void ControlNode::Ask(RelayRequest request,
+                      std::function<void(const RelayReply& reply)> done) {
+  const Time now = MonotonicNow();
+  const std::uint64_t number = next_number_++;
+  request.number = number;
+  waiting_relays_[number] = {std::move(request), std::move(done),
+                             now + kRelayTimeout, now};
+  TryRelay(number, now);
+}
+
+void ControlNode::TryRelay(std::uint64_t number, Time now) {
+  const auto found = waiting_relays_.find(number);
+  if (found == waiting_relays_.end()) return;
+  WaitingRelay& waiting = found->second;
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+  if (now >= waiting.until) {
+    const auto done = std::move(waiting.done);
+    waiting_relays_.erase(found);
+    return done(RelayReply());
+  }
+  const std::string leader = Leader(now);
+  milliseconds again = kRelayAgain;
+  if (leader == options_.self) {
+    again = kRelayLost;
+    const RelayRequest request = waiting.request;
+    LeadRelay(request, [this](const RelayReply& reply) {
+      On(options_.self, reply, MonotonicNow());
+    });
+  } else if (!leader.empty()) {
+    again = kRelayLost;
+    SendTo(leader, waiting.request);
+  }
+  timer->expires_after(again);
+  timer->async_wait([this, number, timer](boost::system::error_code error) {
+    if (!error) TryRelay(number, MonotonicNow());
+  });
+}
+
+void ControlNode::LeadRelay(const RelayRequest& request,
+                            std::function<void(const RelayReply& reply)> done) {
+  RelayReply reply;
+  reply.number = request.number;
+  if (!is_leader()) return done(reply);
+  const PlanDocument& held = register_.document();
+  if (request.version <= held.version) {
+    reply.done = true;
+    // A read; a change that is overtaken needs no more than the word.
+    if (request.version == 0) reply.plan = held;
+    return done(reply);
+  }
+  const PlanDocument document{request.version, request.document};
+  replica_->Propose(PlanRegister::EncodeCommand(document),
+                    [reply, done = std::move(done)](bool committed) mutable {
+                      reply.done = committed;
+                      done(reply);
+                    });
+}
+
+void ControlNode::On(const std::string& from, const RelayRequest& request,
+                     Time /*now*/) {
+  LeadRelay(request,
+            [this, from](const RelayReply& reply) { SendTo(from, reply); });
+}
+
+void ControlNode::On(const std::string& /*from*/, const RelayReply& reply,
+                     Time /*now*/) {
+  const auto found = waiting_relays_.find(reply.number);
+  // Not done: the leader was not one; the next try finds another.
+  if (found == waiting_relays_.end() || !reply.done) return;
+  const auto done = std::move(found->second.done);
+  waiting_relays_.erase(found);
+  done(reply);
+}
+
+void ControlNode::On(const std::string& from, const PlanAsk& /*ask*/,
+                     Time /*now*/) {
+  if (plan_.version > 0) SendTo(from, plan_);
+}
+
+void ControlNode::On(const std::string& /*from*/, const PlanDocument& document,
+                     Time /*now*/) {
+  TakePlan(document);
+}
+
+void ControlNode::TakePlan(const PlanDocument& document) {
+  if (document.version <= plan_.version) return;
+  plan_ = document;
+  Log(LogLevel::kInfo, Event::kConfigurationInForce,
+      {{"version", std::to_string(plan_.version)},
+       {"bytes", std::to_string(plan_.text.size())}});
+  const Time now = MonotonicNow();
+  for (auto& [number, incoming] : incoming_) {
+    if (incoming.entry) OfferPlan(*incoming.entry, now);
+  }
+}
+
+void ControlNode::OfferPlan(Entry& entry, Time now) {
+  if (entry.plan_version >= plan_.version) return;
+  // One plan at a time: an entry on a thin link skips those in between.
+  const bool under_way = entry.plan_sent > entry.plan_version;
+  if (under_way && now < entry.plan_sent_at + kPlanAgain) return;
+  if (!entry.is_primary && !under_way) {
+    // The process that serves the entry first sends it, most times.
+    entry.plan_sent = plan_.version;
+    entry.plan_sent_at = now;
+    return;
+  }
+  entry.plan_sent = plan_.version;
+  entry.plan_sent_at = now;
+  entry.link->Send(EncodeFleetMessage(plan_));
+}
+
+void ControlNode::StartReplica(Time now) {
+  if (replica_->is_running()) return;
+  std::vector<std::string> known;
+  for (const auto& [name, peer] : peers_) known.push_back(name);
+  if (!replica_->is_blank()) {
+    return replica_->Start(known, /*founders=*/0, now);
+  }
+  if (sync_.has_voters()) {
+    // A group is there. Without itself among the seeds it never founds one.
+    return replica_->Start(known, sync_.voters().size(), now);
+  }
+  if (!options_.is_first_start) return;
+  const std::vector<std::string> founders = Digest(now).founders;
+  const bool founds = std::find(founders.begin(), founders.end(),
+                                options_.self) != founders.end();
+  if (founds) replica_->Start(founders, founders.size(), now);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/fleet/frame_link.cc
@@ -0,0 +1,137 @@
+#include "shell/fleet/frame_link.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "shell/clock/monotonic_now.h"
+#include "shell/net/socket_options.h"
+
+namespace coltsfootfork {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kConnectTimeout{600};
+// Above the largest plan that an operator may send, and a snapshot's chunk.
+constexpr std::size_t kMaxFrameBytes = 16U << 20U;
+constexpr std::size_t kMaxOutgoingBytes = 24U << 20U;
+constexpr unsigned kBitsPerByte = 8;
+
+std::string WithLength(std::string frame) {
+  std::string bytes;
+  bytes.reserve(frame.size() + sizeof(std::uint32_t));
+  for (unsigned shift = 4 * kBitsPerByte; shift > 0; shift -= kBitsPerByte) {
+    bytes += static_cast<char>(frame.size() >> (shift - kBitsPerByte));
+  }
+  bytes += frame;
+  return bytes;
+}
+
+}  // namespace
+
+FrameLink::FrameLink(asio::io_context& io, asio::ip::tcp::socket socket,
+                     Events events)
+    : socket_(std::move(socket)), timer_(io), events_(std::move(events)) {}
+
+std::shared_ptr<FrameLink> FrameLink::Connect(
+    asio::io_context& io, const asio::ip::tcp::endpoint& address,
+    Events events) {
+  auto self = std::make_shared<FrameLink>(io, asio::ip::tcp::socket(io),
+                                          std::move(events));
+  self->timer_.expires_after(kConnectTimeout);
+  self->timer_.async_wait([weak = self->weak_from_this()](error_code error) {
+    const auto link = weak.lock();
+    if (!error && link && !link->up_) link->Down();
+  });
+  self->socket_.async_connect(address, [self](error_code error) {
+    if (self->closed_) return;
+    if (error) return self->Down();
+    self->Up();
+  });
+  return self;
+}
+
+std::shared_ptr<FrameLink> FrameLink::Accept(asio::io_context& io,
+                                             asio::ip::tcp::socket socket,
+                                             Events events) {
+  auto self =
+      std::make_shared<FrameLink>(io, std::move(socket), std::move(events));
+  self->Up();
+  return self;
+}
+
+void FrameLink::Send(std::string frame) {
+  if (!up_) return;
+  outgoing_bytes_ += frame.size();
+  if (outgoing_bytes_ > kMaxOutgoingBytes) return Down();
+  outgoing_.push_back(WithLength(std::move(frame)));
+  if (outgoing_.size() == 1) WriteNext();
+}
+
+void FrameLink::Close() {
+  if (closed_) return;
+  closed_ = true;
+  up_ = false;
+  events_ = Events();
+  timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void FrameLink::Up() {
+  timer_.cancel();
+  up_ = true;
+  last_heard_ = MonotonicNow();
+  SetLinkOptions(socket_);
+  if (events_.on_up) events_.on_up();
+  if (!closed_) ReadLength();
+}
+
+void FrameLink::Down() {
+  const auto handler = events_.on_down;
+  Close();
+  if (handler) handler();
+}
+
+void FrameLink::ReadLength() {
+  asio::async_read(socket_, asio::buffer(length_),
+                   [self = shared_from_this()](error_code error, std::size_t) {
+                     if (self->closed_) return;
+                     if (error) return self->Down();
+                     std::size_t size = 0;
+                     for (const unsigned char byte : self->length_) {
+                       size = (size << kBitsPerByte) + byte;
+                     }
+                     if (size > kMaxFrameBytes) return self->Down();
+                     self->ReadFrame(size);
+                   });
+}
+
+void FrameLink::ReadFrame(std::size_t size) {
+  incoming_.resize(size);
+  asio::async_read(socket_, asio::buffer(incoming_),
+                   [self = shared_from_this()](error_code error, std::size_t) {
+                     if (self->closed_) return;
+                     if (error) return self->Down();
+                     self->last_heard_ = MonotonicNow();
+                     const auto handler = self->events_.on_frame;
+                     handler(std::exchange(self->incoming_, {}));
+                     if (!self->closed_) self->ReadLength();
+                   });
+}
+
+void FrameLink::WriteNext() {
+  asio::async_write(socket_, asio::buffer(outgoing_.front()),
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      if (self->closed_) return;
+                      if (error) return self->Down();
+                      self->outgoing_bytes_ -= self->outgoing_.front().size() -
+                                               sizeof(std::uint32_t);
+                      self->outgoing_.pop_front();
+                      if (!self->outgoing_.empty()) self->WriteNext();
+                    });
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/fleet/frame_link.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coltsfootfork/core/types/time.h"
+
+namespace coltsfootfork {
+
+// A link between two processes of a fleet: a TCP connection that carries frames
+// of bytes, each after its length. A plain connection in place of a WebSocket:
+// docs/design/platform.md gives the cost of both.
+class FrameLink : public std::enable_shared_from_this<FrameLink> {
+ public:
+  struct Events {
+    std::function<void()> on_up;
+    std::function<void(std::string frame)> on_frame;
+    // Called once, also when the link never came up; not after Close.
+    std::function<void()> on_down;
+  };
+
+  static std::shared_ptr<FrameLink> Connect(
+      boost::asio::io_context& io,
+      const boost::asio::ip::tcp::endpoint& address, Events events);
+  static std::shared_ptr<FrameLink> Accept(boost::asio::io_context& io,
+                                           boost::asio::ip::tcp::socket socket,
+                                           Events events);
+
+  FrameLink(boost::asio::io_context& io, boost::asio::ip::tcp::socket socket,
+            Events events);
+
+  // A frame on a link that is not up is dropped: its sender repeats what
+  // matters. A peer that does not read ends the link.
+  void Send(std::string frame);
+  void Close();
+
+  bool is_up() const { return up_; }
+  // When the last frame came, or the link came up.
+  Time last_heard() const { return last_heard_; }
+
+ private:
+  void Up();
+  void Down();
+  void ReadLength();
+  void ReadFrame(std::size_t size);
+  void WriteNext();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  Events events_;
+  std::array<unsigned char, 4> length_{};
+  std::string incoming_;
+  std::deque<std::string> outgoing_;
+  std::size_t outgoing_bytes_ = 0;
+  bool up_ = false;
+  bool closed_ = false;
+  Time last_heard_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/fleet/replica_host.cc
@@ -0,0 +1,250 @@
+#include "shell/fleet/replica_host.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "coltsfootfork/core/replication/replica_codec.h"
+#include "shell/clock/monotonic_now.h"
+#include "shell/log/event.h"
+
+namespace coltsfootfork {
+namespace {
+
+namespace leaf = boost::leaf;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReopenPause{500};
+// A control process on a crowded host answers within this many heartbeats;
+// elections take one to two times the minimum.
+constexpr milliseconds kHeartbeat{150};
+constexpr milliseconds kElectionMinimum{900};
+constexpr milliseconds kProbeInterval{200};
+// An empty successor may take the place of a voter that was silent for so long.
+constexpr milliseconds kDeadAfter{2500};
+
+void LogStorageError(const StorageError& error) {
+  Log(LogLevel::kError, Event::kStorageFailed,
+      {{"place", error.place}, {"problem", error.problem}});
+}
+
+std::unique_ptr<DiskLog> OpenDisk(const std::string& folder) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::unique_ptr<DiskLog>> {
+        DiskLogOptions options;
+        options.folder = folder;
+        return DiskLog::Open(std::move(options));
+      },
+      [](const StorageError& error) -> std::unique_ptr<DiskLog> {
+        LogStorageError(error);
+        return nullptr;
+      },
+      [&]() -> std::unique_ptr<DiskLog> {
+        LogStorageError({folder, "cannot be opened"});
+        return nullptr;
+      });
+}
+
+bool WriteToDisk(DiskLog& disk, const Persist& persist) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(disk.Write(persist));
+        return true;
+      },
+      [](const StorageError& error) {
+        LogStorageError(error);
+        return false;
+      },
+      [] {
+        LogStorageError({"data folder", "cannot be written"});
+        return false;
+      });
+}
+
+}  // namespace
+
+ReplicaHost::ReplicaHost(ReplicaHostOptions options, PlanRegister& machine,
+                         Transmit transmit, Time now)
+    : options_(std::move(options)),
+      machine_(machine),
+      transmit_(std::move(transmit)) {
+  Open(now);
+}
+
+bool ReplicaHost::is_blank() const {
+  return recovered_ && recovered_->hard_state.group == 0;
+}
+
+void ReplicaHost::Open(Time now) {
+  disk_ = OpenDisk(options_.data_folder);
+  if (!disk_) {
+    reopen_at_ = now + kReopenPause;
+    return;
+  }
+  recovered_ = disk_->TakeRecovered();
+}
+
+void ReplicaHost::Start(const std::vector<std::string>& seeds,
+                        std::size_t founders, Time now) {
+  seeds_ = seeds;
+  target_voters_ = founders;
+  if (replica_ || !recovered_) return;
+  ReplicaOptions options;
+  options.self = ProcessId(options_.self);
+  options.zone = options_.zone;
+  for (const std::string& seed : seeds_) options.seeds.emplace_back(seed);
+  options.heartbeat = kHeartbeat;
+  options.election_minimum = kElectionMinimum;
+  options.probe_interval = kProbeInterval;
+  VoterPlannerOptions planner;
+  planner.target_voters = std::max(target_voters_, RecoveredVoters());
+  planner.dead_after = kDeadAfter;
+  Replica replica(options, std::move(*recovered_), options_.seed, now);
+  recovered_.reset();
+  replica_ =
+      std::make_unique<ControlReplica>(std::move(replica), machine_, planner);
+  Tick(now);
+}
+
+std::size_t ReplicaHost::RecoveredVoters() const {
+  std::size_t voters = 1;
+  if (recovered_->snapshot) {
+    voters = recovered_->snapshot->membership.VoterCount();
+  }
+  for (const LogEntry& entry : recovered_->entries) {
+    if (entry.kind == EntryKind::kMembership) {
+      voters = entry.membership.VoterCount();
+    }
+  }
+  return voters;
+}
+
+void ReplicaHost::OnMessage(const std::string& from, const std::string& bytes) {
+  if (!replica_) return;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(message, DecodeReplicaMessage(bytes));
+        Input(ReplicaMessageReceived{ProcessId(from), std::move(message)});
+        return {};
+      },
+      [&](const CodecError& error) {
+        Log(LogLevel::kWarning, Event::kReplicaFailed,
+            {{"peer", from},
+             {"place", error.place},
+             {"problem", error.problem}});
+      },
+      [] {});
+}
+
+void ReplicaHost::Tick(Time now) {
+  if (halted_) Reopen(now);
+  if (!disk_ && now >= reopen_at_) Open(now);
+  if (!replica_) {
+    // Opened late: what it was started with still holds.
+    if (recovered_ && !seeds_.empty()) Start(seeds_, target_voters_, now);
+    return;
+  }
+  handling_ = true;
+  CarryOut(replica_->Tick(now));
+  handling_ = false;
+  HandleInputs();
+}
+
+void ReplicaHost::Reopen(Time now) {
+  halted_ = false;
+  replica_.reset();
+  disk_.reset();
+  inputs_.clear();
+  reopen_at_ = now + kReopenPause;
+  const auto waiting = std::exchange(waiting_, {});
+  for (const auto& [proposal, done] : waiting) done(false);
+}
+
+void ReplicaHost::Propose(std::string command, Proposed done) {
+  if (!replica_) return done(false);
+  const ProposalId proposal = next_proposal_++;
+  waiting_[proposal] = std::move(done);
+  Input(coltsfootfork::Propose{proposal, std::move(command)});
+}
+
+bool ReplicaHost::HoldsLease(Time now) const {
+  return replica_ && replica_->replica().HoldsLease(now);
+}
+
+std::string ReplicaHost::leader() const {
+  if (!replica_) return {};
+  return replica_->replica().leader().value_or(ProcessId()).value();
+}
+
+std::vector<std::string> ReplicaHost::voters() const {
+  std::vector<std::string> names;
+  if (!replica_) return names;
+  for (const ProcessId& voter : replica_->replica().voters()) {
+    names.push_back(voter.value());
+  }
+  return names;
+}
+
+void ReplicaHost::Input(ReplicaInput input) {
+  inputs_.push_back(std::move(input));
+  if (!handling_) HandleInputs();
+}
+
+void ReplicaHost::HandleInputs() {
+  // Effects of one input are carried out whole before the next is handled.
+  handling_ = true;
+  while (!inputs_.empty() && !halted_) {
+    const ReplicaInput next = std::move(inputs_.front());
+    inputs_.pop_front();
+    CarryOut(replica_->Handle(next, MonotonicNow()));
+  }
+  handling_ = false;
+}
+
+void ReplicaHost::CarryOut(const std::vector<ControlReplicaEffect>& effects) {
+  for (const ControlReplicaEffect& effect : effects) {
+    std::visit([this](const auto& one) { CarryOut(one); }, effect);
+  }
+}
+
+void ReplicaHost::CarryOut(const SendReplicaMessage& effect) {
+  transmit_(effect.to.value(), EncodeReplicaMessage(effect.message));
+}
+
+void ReplicaHost::CarryOut(const Persist& effect) {
+  if (WriteToDisk(*disk_, effect)) {
+    inputs_.emplace_back(PersistDone{effect.token});
+  } else {
+    inputs_.emplace_back(PersistFailed{effect.token});
+  }
+}
+
+void ReplicaHost::CarryOut(const CommandAnswered& effect) {
+  const auto waiting = waiting_.find(effect.proposal);
+  if (waiting == waiting_.end()) return;
+  const Proposed done = std::move(waiting->second);
+  waiting_.erase(waiting);
+  done(effect.outcome == ProposalOutcome::kCommitted);
+}
+
+void ReplicaHost::CarryOut(const LogEvent& effect) {
+  const std::string term = std::to_string(effect.term);
+  switch (effect.kind) {
+    case ReplicaEventKind::kLeaderElected:
+      return Log(LogLevel::kInfo, Event::kBecameLeader,
+                 {{"leader", effect.process.value()}, {"term", term}});
+    case ReplicaEventKind::kLeaderLost:
+      return Log(LogLevel::kInfo, Event::kLostLeadership, {{"term", term}});
+    case ReplicaEventKind::kHalted:
+      halted_ = true;
+      return Log(LogLevel::kError, Event::kReplicaFailed, {{"term", term}});
+    default:
+      return Log(LogLevel::kInfo, Event::kReplicaChanged,
+                 {{"kind", std::to_string(static_cast<int>(effect.kind))},
+                  {"term", term},
+                  {"index", std::to_string(effect.index)},
+                  {"replica", effect.process.value()}});
+  }
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/fleet/replica_host.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfootfork/core/control/control_replica.h"
+#include "coltsfootfork/core/fleet/plan_register.h"
+#include "coltsfootfork/core/replication/log_entry.h"
+#include "coltsfootfork/shell/storage/disk_log.h"
+
+namespace coltsfootfork {
+
+struct ReplicaHostOptions {
+  // The process's address among its peers.
+  std::string self;
+  ZoneId zone;
+  std::string data_folder;
+  std::uint64_t seed = 0;
+};
+
+// A replica of the plan with its data folder. A folder that cannot be opened or
+// written is tried again after a pause, from what it holds then: a full or
+// failing disk costs the group this voter only for as long as it lasts.
+class ReplicaHost {
+ public:
+  using Transmit =
+      std::function<void(const std::string& to, std::string bytes)>;
+  // Called once: the command is committed, or may not be.
+  using Proposed = std::function<void(bool committed)>;
+
+  ReplicaHost(ReplicaHostOptions options, PlanRegister& machine,
+              Transmit transmit, Time now);
+
+  // The folder is open and belongs to no group yet.
+  bool is_blank() const;
+  bool is_running() const { return replica_ != nullptr; }
+  // Lets the replica take part. A blank one founds a group with the seeds, or
+  // joins theirs where it is not among them; `founders` is how many voters the
+  // group should have.
+  void Start(const std::vector<std::string>& seeds, std::size_t founders,
+             Time now);
+
+  void OnMessage(const std::string& from, const std::string& bytes);
+  void Tick(Time now);
+  void Propose(std::string command, Proposed done);
+
+  bool HoldsLease(Time now) const;
+  // Empty while none is known.
+  std::string leader() const;
+  std::vector<std::string> voters() const;
+
+ private:
+  void Open(Time now);
+  // How many voters the group in the folder has, at least one.
+  std::size_t RecoveredVoters() const;
+  void Reopen(Time now);
+  void Input(ReplicaInput input);
+  void HandleInputs();
+  void CarryOut(const std::vector<ControlReplicaEffect>& effects);
+  void CarryOut(const SendReplicaMessage& effect);
+  void CarryOut(const Persist& effect);
+  void CarryOut(const CommandAnswered& effect);
+  void CarryOut(const LogEvent& effect);
+
+  ReplicaHostOptions options_;
+  PlanRegister& machine_;
+  Transmit transmit_;
+  std::unique_ptr<DiskLog> disk_;
+  std::optional<RecoveredState> recovered_;
+  std::unique_ptr<ControlReplica> replica_;
+  std::vector<std::string> seeds_;
+  std::size_t target_voters_ = 1;
+  std::deque<ReplicaInput> inputs_;
+  bool handling_ = false;
+  bool halted_ = false;
+  Time reopen_at_;
+  ProposalId next_proposal_ = 1;
+  std::map<ProposalId, Proposed> waiting_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/event_splitter.cc
@@ -0,0 +1,62 @@
+#include "shell/gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace coltsfootfork {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// One past the blank line that ends the first event, or npos.
+std::size_t EndOfEvent(std::string_view text) {
+  for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    std::size_t next = at + 1;
+    if (next < text.size() && text[next] == '\r') ++next;
+    if (next < text.size() && text[next] == '\n') return next + 1;
+  }
+  return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> ReadNumber(std::string_view value) {
+  while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+  while (!value.empty() && value.back() == '\r') value.remove_suffix(1);
+  std::uint64_t number = 0;
+  const char* end = value.data() + value.size();
+  const auto read = std::from_chars(value.data(), end, number);
+  if (read.ec != std::errc() || read.ptr != end) return std::nullopt;
+  return number;
+}
+
+std::optional<std::uint64_t> ReadId(std::string_view event) {
+  std::optional<std::uint64_t> id;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    if (line.substr(0, kIdField.size()) == kIdField) {
+      id = ReadNumber(line.substr(kIdField.size()));
+    }
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+  }
+  return id;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Feed(std::string_view bytes) {
+  rest_.append(bytes);
+  std::vector<StreamEvent> events;
+  std::size_t whole = 0;
+  const std::string_view all = rest_;
+  while (true) {
+    const std::size_t end = EndOfEvent(all.substr(whole));
+    if (end == std::string_view::npos) break;
+    const std::string_view event = all.substr(whole, end);
+    events.push_back({std::string(event), ReadId(event)});
+    whole += end;
+  }
+  rest_.erase(0, whole);
+  return events;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/gateway.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "coltsfootfork/core/fleet/server_directory.h"
+#include "coltsfootfork/core/gateway/plan_index.h"
+#include "shell/gateway/gateway_call.h"
+#include "shell/gateway/gateway_context.h"
+#include "shell/net/http_server.h"
+
+namespace coltsfootfork {
+
+// An entry's way from callers straight to backend servers: it answers each
+// request under the routing plan in force, with the servers that the directory
+// names.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& io, const CallProtocol& protocol,
+          GatewayOptions options, std::uint64_t seed);
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Calls under way keep the plan that they began under.
+  void SetPlan(std::shared_ptr<const RoutingPlan> plan);
+  PlanVersion plan_version() const { return context_.plan.plan().version; }
+  const PlanLimits& limits() const { return context_.plan.plan().limits; }
+
+  void FollowServers(const ServerDirectory& directory, Time now);
+  // What the other entries' calls take of the servers.
+  void SetOthers(FleetLoad others) {
+    context_.board.SetOthers(std::move(others));
+  }
+  void SetEntries(std::uint32_t entries) { context_.entries = entries; }
+  FleetLoad OwnLoad() const { return context_.board.OwnLoad(); }
+
+  void OnRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+
+  std::size_t open_calls() const { return calls_.size(); }
+  GatewayMetrics& metrics() { return context_.metrics; }
+  std::string MetricsText();
+
+ private:
+  GatewayContext context_;
+  std::map<std::uint64_t, std::shared_ptr<GatewayCall>> calls_;
+  std::uint64_t next_call_ = 1;
+  // Servers whose leaving the calls know of.
+  std::set<ServerId> leaving_;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/gateway_call.cc
@@ -0,0 +1,389 @@
+#include "shell/gateway/gateway_call.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <random>
+#include <utility>
+
+#include "shell/clock/monotonic_now.h"
+#include "shell/gateway/hop_fields.h"
+#include "shell/gateway/refusal_answer.h"
+#include "shell/gateway/request_text.h"
+#include "shell/log/event.h"
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An answer that is not a stream is held until it is whole, up to this size.
+constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
+// An idle connection that has been so long without use may be gone already.
+constexpr milliseconds kFreshIdle{1000};
+constexpr int kFirstFailure = 300;
+constexpr int kFirstServerError = 500;
+constexpr int kMisdirected = 421;
+
+milliseconds AsMilliseconds(Duration duration) {
+  return milliseconds(ToMilliseconds(duration));
+}
+
+const char* EndName(SendEnd end) {
+  switch (end) {
+    case SendEnd::kNeverSent:
+      return "no_connection";
+    case SendEnd::kNotRun:
+      return "not_run";
+    case SendEnd::kServerError:
+      return "server_error";
+    case SendEnd::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
+GatewayCount RepeatCount(SendEnd end) {
+  switch (end) {
+    case SendEnd::kNeverSent:
+      return GatewayCount::kRepeatAfterNoConnection;
+    case SendEnd::kNotRun:
+      return GatewayCount::kRepeatAfterNotRun;
+    case SendEnd::kServerError:
+      return GatewayCount::kRepeatAfterServerError;
+    case SendEnd::kBroken:
+      break;
+  }
+  return GatewayCount::kRepeatAfterBroken;
+}
+
+}  // namespace
+
+GatewayCall::GatewayCall(GatewayContext& context, HttpRequest request,
+                         std::shared_ptr<HttpExchange> exchange, Time now,
+                         std::function<void()> on_over)
+    : context_(context),
+      request_(std::move(request)),
+      exchange_(std::move(exchange)),
+      on_over_(std::move(on_over)),
+      timer_(context.io),
+      arrived_(now),
+      plan_(context.plan) {}
+
+void GatewayCall::Start(Time now) {
+  head_ = context_.protocol.ReadCall(request_);
+  if (const auto refusal = FindRoute()) return Refuse(*refusal);
+  ChooseService();
+  StartDeadline(now);
+  exchange_->OnCallerGone([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnCallerGone();
+  });
+  context_.budget.CountFirst(service_->name, now);
+  SendToBest(now);
+}
+
+std::optional<GatewayCall::Refusal> GatewayCall::FindRoute() {
+  if (plan_.plan().version == 0) {
+    return Refusal{CallOutcome::kNoPlan, 503, kRetryAfterRefusal};
+  }
+  route_ = plan_.FindRoute(request_.Field("Host"), request_.target);
+  if (route_ == nullptr) {
+    return Refusal{CallOutcome::kNoRoute, 404, std::nullopt};
+  }
+  rank_ = route_->rank;
+  if (route_->is_public || !plan_.plan().needs_keys) return std::nullopt;
+  workspace_ = plan_.FindWorkspace(head_.key);
+  if (workspace_ == nullptr) {
+    return Refusal{CallOutcome::kUnknownKey, 401, std::nullopt};
+  }
+  rank_ = workspace_->rank.value_or(rank_);
+  return std::nullopt;
+}
+
+void GatewayCall::ChooseService() {
+  std::vector<double> weights;
+  for (const WeightedService& one : route_->services) {
+    weights.push_back(one.weight);
+  }
+  std::discrete_distribution<std::size_t> lot(weights.begin(), weights.end());
+  service_ = plan_.FindService(route_->services[lot(context_.random)].service);
+  if (!service_->engine) return;
+  const std::uint64_t output =
+      std::min(head_.max_output_tokens,
+               head_.expected_output_tokens.value_or(head_.max_output_tokens));
+  tokens_ = head_.prompt_tokens + output;
+}
+
+void GatewayCall::StartDeadline(Time now) {
+  const milliseconds patience = head_.patience.value_or(route_->timeout);
+  patience_end_ = now + patience;
+  deadline_ = now + std::min(patience, route_->timeout);
+  timer_.expires_after(deadline_ - now);
+  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self) self->OnDeadline();
+  });
+}
+
+ServerQuery GatewayCall::QueryFor(std::uint64_t tokens) const {
+  ServerQuery query;
+  query.service = service_->name;
+  query.engine = service_->engine ? &*service_->engine : nullptr;
+  query.tokens = tokens;
+  query.excluded = tried_;
+  return query;
+}
+
+void GatewayCall::SendToBest(Time now) {
+  const auto choice = context_.board.Pick(QueryFor(tokens_), now);
+  if (!choice) {
+    if (sends_ > 0 || ran_) return AfterSend(SendEnd::kNeverSent, now);
+    return Refuse({CallOutcome::kNoServer, 503, kRetryAfterRefusal});
+  }
+  if (!choice->fits && rank_ > 0 && service_->engine && sends_ == 0) {
+    return Refuse({CallOutcome::kNoRoom, 503, kRetryAfterRefusal});
+  }
+  leg_ = std::make_shared<ServerLeg>(context_, PlanLeg(*choice, now));
+  leg_->Start(head_.id, now, EventsOf(leg_, std::nullopt));
+}
+
+LegPlan GatewayCall::PlanLeg(const ServerChoice& choice, Time now) {
+  LegPlan leg;
+  leg.server = choice.id;
+  leg.address = choice.address;
+  leg.tokens = tokens_;
+  leg.wish.server = choice.id;
+  leg.wish.address = choice.address;
+  leg.wish.limit = std::max<std::uint32_t>(
+      service_->max_connections / std::max<std::uint32_t>(context_.entries, 1),
+      2);
+  if (!route_->MayRepeat()) leg.wish.idle_at_most = kFreshIdle;
+  ChooseBackup(leg, now);
+  return leg;
+}
+
+std::string GatewayCall::WriteRequest(const LegPlan& leg,
+                                      const std::optional<CarrySource>& carry) {
+  const Time now = MonotonicNow();
+  ForwardHead head;
+  head.server = leg.server;
+  head.patience = std::max(AsMilliseconds(deadline_ - now), milliseconds(1));
+  if (workspace_ != nullptr) head.workspace = workspace_->name;
+  if (service_->engine) head.rank = rank_;
+  head.backup_address = leg.backup_address;
+  head.carry = carry;
+  if (last_event_) {
+    head.last_event = std::to_string(*last_event_);
+  } else {
+    head.last_event = head_.last_event;
+  }
+  return RequestText(request_, context_.protocol.ForwardFields(request_, head));
+}
+
+LegEvents GatewayCall::EventsOf(const std::shared_ptr<ServerLeg>& leg,
+                                std::optional<CarrySource> carry) {
+  LegEvents events;
+  const auto self = shared_from_this();
+  events.request = [self, plan = leg->plan(), carry = std::move(carry)] {
+    // A stream that goes on from its memory is the same run.
+    if (!carry) ++self->sends_;
+    return self->WriteRequest(plan, carry);
+  };
+  events.on_unreached = [self] { self->OnUnreached(); };
+  events.on_head = [self](const HttpResponse& head, const AnswerHead& facts) {
+    self->OnHead(head, facts);
+  };
+  events.on_body = [self](std::string bytes) {
+    self->OnBody(std::move(bytes));
+  };
+  events.on_end = [self](ExchangeEnd end) { self->OnEnd(end); };
+  return events;
+}
+
+void GatewayCall::OnUnreached() {
+  const Time now = MonotonicNow();
+  context_.board.OnUnreachable(leg_->plan().server, now);
+  AfterSend(SendEnd::kNeverSent, now);
+}
+
+void GatewayCall::OnHead(const HttpResponse& head, const AnswerHead& facts) {
+  answer_ = head;
+  answer_facts_ = facts;
+  streaming_ = IsStream(head);
+  if (!streaming_) return;
+  context_.board.OnAnswered(leg_->plan().server, /*failed=*/false);
+  if (answer_begun_) return;
+  answer_begun_ = true;
+  exchange_->StartStream(
+      {head.status, head.content_type, EndToEndFields(head.fields), {}});
+}
+
+bool GatewayCall::IsStream(const HttpResponse& head) const {
+  constexpr const char* kEventStream = "text/event-stream";
+  const boost::beast::string_view type(head.content_type);
+  return head.status < kFirstFailure && answer_facts_.has_signature &&
+         answer_facts_.id == head_.id && route_->kind == CallKind::kStreaming &&
+         boost::beast::iequals(type.substr(0, type.find(';')), kEventStream);
+}
+
+void GatewayCall::OnBody(std::string bytes) {
+  if (streaming_) return ForwardEvents(bytes);
+  answer_.body += bytes;
+  if (answer_.body.size() <= kMaxAnswerBytes) return;
+  leg_->Cancel();
+  OnEnd(ExchangeEnd::kBroken);
+}
+
+void GatewayCall::ForwardEvents(std::string_view bytes) {
+  std::string events;
+  for (const StreamEvent& event : splitter_.Feed(bytes)) {
+    const bool known = event.id && last_event_ && *event.id <= *last_event_;
+    if (known) continue;
+    if (event.id) last_event_ = event.id;
+    events += event.text;
+  }
+  if (events.empty()) return;
+  exchange_->WriteChunk(events);
+  // The engine announced its leaving before the stream had begun.
+  if (leaving_) Carry(MonotonicNow());
+}
+
+void GatewayCall::OnEnd(ExchangeEnd end) {
+  const Time now = MonotonicNow();
+  const ServerId server = leg_->plan().server;
+  if (streaming_) return OnStreamEnd(end, now);
+  if (end == ExchangeEnd::kBroken) {
+    context_.board.OnAnswered(server, /*failed=*/true);
+    return AfterSend(SendEnd::kBroken, now);
+  }
+  if (answer_facts_.not_run || answer_.status == kMisdirected) {
+    return AfterSend(SendEnd::kNotRun, now);
+  }
+  const bool ours = answer_facts_.id == head_.id;
+  const bool success = answer_.status < kFirstFailure;
+  if (!ours || (success && !answer_facts_.has_signature)) {
+    context_.board.OnAnswered(server, /*failed=*/true);
+    return AfterSend(SendEnd::kBroken, now);
+  }
+  const bool failed = answer_.status >= kFirstServerError;
+  context_.board.OnAnswered(server, failed);
+  if (failed) return AfterSend(SendEnd::kServerError, now);
+  Deliver();
+}
+
+void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
+  if (end == ExchangeEnd::kWhole) {
+    // What follows the last blank line belongs to the answer as well.
+    exchange_->WriteChunk(splitter_.rest());
+    exchange_->FinishStream();
+    return Over(CallOutcome::kServed, answer_.status);
+  }
+  splitter_.DropRest();
+  leg_ended_ = true;
+  if (next_leg_ || (move_ && move_->is_stopping())) return;
+  if (MayCarry() && CarryFromBackup(now)) return;
+  context_.board.OnAnswered(leg_->plan().server, /*failed=*/true);
+  AfterSend(SendEnd::kBroken, now);
+}
+
+CallFacts GatewayCall::FactsAt(Time now) {
+  CallFacts facts;
+  facts.may_repeat = route_->MayRepeat();
+  facts.sends = sends_;
+  facts.max_attempts = route_->max_attempts;
+  facts.may_have_run = ran_;
+  facts.answer_begun = answer_begun_;
+  facts.deadline = deadline_;
+  facts.budget_allows = context_.budget.MayRepeat(service_->name, now);
+  facts.others_left = context_.board.Pick(QueryFor(tokens_), now).has_value();
+  return facts;
+}
+
+void GatewayCall::AfterSend(SendEnd end, Time now) {
+  if (leg_) tried_.insert(leg_->plan().server);
+  if (end == SendEnd::kServerError || end == SendEnd::kBroken) ran_ = true;
+  const CallFacts facts = FactsAt(now);
+  const auto next = DecideAfterSend(facts, end, now);
+  streaming_ = false;
+  if (std::holds_alternative<SendAgain>(next)) {
+    context_.metrics.Count(RepeatCount(end));
+    if (sends_ > 0) context_.budget.CountRepeat(service_->name, now);
+    Log(LogLevel::kInfo, Event::kCallSentAgain,
+        {{"id", head_.id.value()},
+         {"server", leg_ ? leg_->plan().server.value() : std::string()},
+         {"end", EndName(end)},
+         {"status", std::to_string(answer_.status)},
+         {"sends", std::to_string(sends_)}});
+    leg_ended_ = false;
+    return SendToBest(now);
+  }
+  if (!facts.budget_allows) {
+    context_.metrics.Count(GatewayCount::kRepeatWithoutBudget);
+  }
+  if (std::holds_alternative<BreakOff>(next)) {
+    return AbortAnswer(CallOutcome::kBrokenOff);
+  }
+  if (std::holds_alternative<DeliverFailure>(next)) return Deliver();
+  const auto& answer = std::get<AnswerCaller>(next);
+  Refuse({ran_ ? CallOutcome::kBroken : CallOutcome::kNotRun,
+          static_cast<int>(answer.status), answer.retry_after});
+}
+
+void GatewayCall::Deliver() {
+  const int status = answer_.status;
+  answer_.fields = EndToEndFields(answer_.fields);
+  exchange_->Respond(std::move(answer_));
+  Over(status < kFirstServerError ? CallOutcome::kServed
+                                  : CallOutcome::kServerFailure,
+       status);
+}
+
+void GatewayCall::Refuse(const Refusal& refusal) {
+  exchange_->Respond(RefusalAnswer(
+      refusal.status, CallOutcomeName(refusal.outcome), refusal.retry_after));
+  Over(refusal.outcome, refusal.status);
+}
+
+void GatewayCall::AbortAnswer(CallOutcome outcome) {
+  exchange_->AbortStream();
+  Over(outcome, answer_.status);
+}
+
+void GatewayCall::OnDeadline() {
+  if (over_) return;
+  const bool sent = ran_ || (leg_ && leg_->is_sent());
+  if (answer_begun_) return AbortAnswer(CallOutcome::kDeadline);
+  constexpr int kGatewayTimeout = 504;
+  if (sent) return Refuse({CallOutcome::kDeadline, kGatewayTimeout, {}});
+  Refuse({CallOutcome::kDeadline, 503, kRetryAfterRefusal});
+}
+
+void GatewayCall::OnCallerGone() { Over(CallOutcome::kCallerGone, 0); }
+
+void GatewayCall::Over(CallOutcome outcome, int status) {
+  if (over_) return;
+  over_ = true;
+  timer_.cancel();
+  const auto self = shared_from_this();
+  const Duration taken = MonotonicNow() - arrived_;
+  context_.metrics.Count(outcome, taken);
+  Log(LogLevel::kInfo, Event::kCallEnded,
+      {{"id", head_.id.value()},
+       {"outcome", CallOutcomeName(outcome)},
+       {"status", std::to_string(status)},
+       {"route", route_ != nullptr ? route_->name : std::string()},
+       {"server", leg_ ? leg_->plan().server.value() : std::string()},
+       {"sends", std::to_string(sends_)},
+       {"carried", std::to_string(carried_)},
+       {"ms", std::to_string(ToMilliseconds(taken))},
+       {"plan", std::to_string(plan_.plan().version)}});
+  if (leg_) leg_->Cancel();
+  if (next_leg_) next_leg_->Cancel();
+  if (move_) move_->Abandon();
+  leg_ = nullptr;
+  next_leg_ = nullptr;
+  move_ = nullptr;
+  exchange_->OnCallerGone(nullptr);
+  if (on_over_) std::exchange(on_over_, nullptr)();
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/gateway_call.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "coltsfootfork/core/gateway/call_policy.h"
+#include "coltsfootfork/core/gateway/gateway_metrics.h"
+#include "coltsfootfork/core/gateway/plan_index.h"
+#include "coltsfootfork/core/types/time.h"
+#include "shell/gateway/event_splitter.h"
+#include "shell/gateway/gateway_context.h"
+#include "shell/gateway/server_leg.h"
+#include "shell/gateway/stream_move.h"
+#include "shell/net/http_server.h"
+
+namespace coltsfootfork {
+
+// One attempt of a caller: finds route and workspace, sends the call to a
+// server, to further ones as far as the policy allows, and hands the answer on.
+// A running stream whose engine leaves is carried over to another one.
+class GatewayCall : public std::enable_shared_from_this<GatewayCall> {
+ public:
+  // `on_over` is called once, when the answer is settled.
+  GatewayCall(GatewayContext& context, HttpRequest request,
+              std::shared_ptr<HttpExchange> exchange, Time now,
+              std::function<void()> on_over);
+
+  void Start(Time now);
+  // The server will not serve much longer.
+  void OnServerLeaving(const ServerId& server, Time now);
+
+ private:
+  struct Refusal {
+    CallOutcome outcome;
+    int status;
+    std::optional<std::chrono::milliseconds> retry_after;
+  };
+
+  // Admission.
+  std::optional<Refusal> FindRoute();
+  void ChooseService();
+  void StartDeadline(Time now);
+
+  // Sending.
+  void SendToBest(Time now);
+  LegPlan PlanLeg(const ServerChoice& choice, Time now);
+  void ChooseBackup(LegPlan& leg, Time now);
+  std::string WriteRequest(const LegPlan& leg,
+                           const std::optional<CarrySource>& carry);
+  ServerQuery QueryFor(std::uint64_t tokens) const;
+  void AfterSend(SendEnd end, Time now);
+  CallFacts FactsAt(Time now);
+
+  // The answer of the present leg.
+  void OnUnreached();
+  void OnHead(const HttpResponse& head, const AnswerHead& facts);
+  void OnBody(std::string bytes);
+  void OnEnd(ExchangeEnd end);
+  void OnStreamEnd(ExchangeEnd end, Time now);
+  void ForwardEvents(std::string_view bytes);
+  void Deliver();
+  bool IsStream(const HttpResponse& head) const;
+
+  // Carrying a running stream over.
+  bool MayCarry() const;
+  void Carry(Time now);
+  bool CarryFromBackup(Time now);
+  void CarryByMove(Time now);
+  void OnMoved(const StreamMoveResult& result, const ServerId& target,
+               Time now);
+  // Sends the call to where a copy of its memory is; it replaces the present
+  // leg once the server has taken it.
+  void GoOnAt(const ServerId& server, const std::string& address,
+              const CarrySource& source, GatewayCount count, Time now);
+  void OnCarriedHead(const HttpResponse& head, const AnswerHead& facts,
+                     GatewayCount count);
+  void OnCarryRefused(Time now);
+
+  // Ends.
+  void Refuse(const Refusal& refusal);
+  void AbortAnswer(CallOutcome outcome);
+  void OnDeadline();
+  void OnCallerGone();
+  void Over(CallOutcome outcome, int status);
+
+  LegEvents EventsOf(const std::shared_ptr<ServerLeg>& leg,
+                     std::optional<CarrySource> carry);
+
+  GatewayContext& context_;
+  HttpRequest request_;
+  std::shared_ptr<HttpExchange> exchange_;
+  std::function<void()> on_over_;
+  boost::asio::steady_timer timer_;
+  Time arrived_;
+  Time deadline_;
+  Time patience_end_;
+
+  // The plan that was in force when the call came.
+  PlanIndex plan_;
+  CallHead head_;
+  const PlanRoute* route_ = nullptr;
+  const PlanWorkspace* workspace_ = nullptr;
+  const PlanService* service_ = nullptr;
+  std::uint32_t rank_ = 0;
+  std::uint64_t tokens_ = 0;
+
+  std::shared_ptr<ServerLeg> leg_;
+  // Where the stream will go on, while it is not taken there yet.
+  std::shared_ptr<ServerLeg> next_leg_;
+  std::shared_ptr<StreamMove> move_;
+  std::set<ServerId> tried_;
+  std::uint32_t sends_ = 0;
+  // An earlier leg may have run.
+  bool ran_ = false;
+  std::uint32_t carried_ = 0;
+  std::uint32_t move_tries_ = 0;
+  bool leaving_ = false;
+
+  HttpResponse answer_;
+  AnswerHead answer_facts_;
+  bool streaming_ = false;
+  // The caller has the head of the answer.
+  bool answer_begun_ = false;
+  EventSplitter splitter_;
+  std::optional<std::uint64_t> last_event_;
+  // The present leg's stream ended while a carry-over is under way.
+  bool leg_ended_ = false;
+  bool over_ = false;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -0,0 +1,169 @@
+#include <algorithm>
+#include <utility>
+
+#include "shell/clock/monotonic_now.h"
+#include "shell/gateway/gateway_call.h"
+#include "shell/log/event.h"
+
+// The part of GatewayCall that carries a running stream over to another engine.
+namespace coltsfootfork {
+namespace {
+
+// Targets that one stream's move is tried with.
+constexpr std::uint32_t kMoveTries = 4;
+// Backups may fill an engine up to this part, so that calls still find room.
+constexpr double kBackupFill = 0.75;
+
+}  // namespace
+
+void GatewayCall::ChooseBackup(LegPlan& leg, Time now) {
+  const bool wanted = context_.options.carry_streams && service_->engine &&
+                      service_->engine->backups &&
+                      route_->kind == CallKind::kStreaming &&
+                      !route_->MayRepeat();
+  if (!wanted) return;
+  // A smaller memory stands for the part that is kept free of backups.
+  EngineProfile limited = *service_->engine;
+  limited.memory_tokens = static_cast<std::uint64_t>(
+      kBackupFill * static_cast<double>(limited.memory_tokens));
+  ServerQuery query = QueryFor(tokens_);
+  query.engine = &limited;
+  query.excluded.insert(leg.server);
+  const auto choice = context_.board.Pick(query, now);
+  if (!choice || !choice->fits) return;
+  leg.backup = choice->id;
+  leg.backup_address = choice->address;
+}
+
+bool GatewayCall::MayCarry() const {
+  return context_.options.carry_streams && service_ != nullptr &&
+         service_->engine && route_->kind == CallKind::kStreaming && !over_ &&
+         leg_ != nullptr;
+}
+
+void GatewayCall::OnServerLeaving(const ServerId& server, Time now) {
+  if (over_ || !leg_ || leg_->plan().server != server) return;
+  if (!MayCarry() || route_->MayRepeat()) return;
+  leaving_ = true;
+  // Before the first event there is nothing to go on from.
+  if (answer_begun_ && last_event_) Carry(now);
+}
+
+void GatewayCall::Carry(Time now) {
+  leaving_ = false;
+  if (next_leg_ || move_) return;
+  if (CarryFromBackup(now)) return;
+  CarryByMove(now);
+}
+
+bool GatewayCall::CarryFromBackup(Time now) {
+  const LegPlan& plan = leg_->plan();
+  if (next_leg_ || plan.backup.empty() ||
+      !context_.board.IsServing(plan.backup)) {
+    return false;
+  }
+  CarrySource source{plan.backup_address, head_.id.value()};
+  GoOnAt(plan.backup, plan.backup_address, source,
+         GatewayCount::kCarriedFromBackup, now);
+  return true;
+}
+
+void GatewayCall::CarryByMove(Time now) {
+  const bool may_move = service_->engine->moves && !leg_ended_ && !move_ &&
+                        move_tries_ < kMoveTries;
+  if (!may_move) return;
+  ServerQuery query = QueryFor(tokens_);
+  query.excluded.insert(leg_->plan().server);
+  const auto choice = context_.board.Pick(query, now);
+  if (!choice) return;
+  ++move_tries_;
+  move_ = std::make_shared<StreamMove>(context_, head_.id, leg_->plan().address,
+                                       choice->address);
+  move_->Start([weak = weak_from_this(),
+                target = choice->id](const StreamMoveResult& result) {
+    const auto self = weak.lock();
+    if (self) self->OnMoved(result, target, MonotonicNow());
+  });
+}
+
+void GatewayCall::OnMoved(const StreamMoveResult& result,
+                          const ServerId& target, Time now) {
+  if (over_) return;
+  const std::string target_address = move_->target();
+  move_ = nullptr;
+  if (!result.stopped) {
+    context_.metrics.Count(GatewayCount::kCarryRefused);
+    if (leg_ended_) return OnCarryRefused(now);
+    tried_.insert(target);
+    return CarryByMove(now);
+  }
+  const LegPlan& plan = leg_->plan();
+  const CarrySource source{plan.address, result.handle};
+  if (result.at_source) {
+    return GoOnAt(plan.server, plan.address, source,
+                  GatewayCount::kCarriedByMove, now);
+  }
+  GoOnAt(target, target_address, source, GatewayCount::kCarriedByMove, now);
+}
+
+void GatewayCall::GoOnAt(const ServerId& server, const std::string& address,
+                         const CarrySource& source, GatewayCount count,
+                         Time now) {
+  Log(LogLevel::kInfo, Event::kStreamCarried,
+      {{"id", head_.id.value()},
+       {"from", leg_->plan().server.value()},
+       {"to", server.value()},
+       {"way", count == GatewayCount::kCarriedByMove ? "move" : "backup"},
+       {"event", std::to_string(last_event_.value_or(0))}});
+  LegPlan plan = PlanLeg({server, address, true}, now);
+  next_leg_ = std::make_shared<ServerLeg>(context_, std::move(plan));
+  LegEvents events = EventsOf(next_leg_, source);
+  const auto self = shared_from_this();
+  events.on_unreached = [self] { self->OnCarryRefused(MonotonicNow()); };
+  events.on_head = [self, count](const HttpResponse& head,
+                                 const AnswerHead& facts) {
+    self->OnCarriedHead(head, facts, count);
+  };
+  // Until the head is taken, all else means a refusal.
+  const auto leg = std::weak_ptr<ServerLeg>(next_leg_);
+  events.on_body = [self, leg](std::string bytes) {
+    if (self->leg_ == leg.lock()) self->OnBody(std::move(bytes));
+  };
+  events.on_end = [self, leg](ExchangeEnd end) {
+    if (self->leg_ == leg.lock()) return self->OnEnd(end);
+    self->OnCarryRefused(MonotonicNow());
+  };
+  next_leg_->Start(head_.id, now, std::move(events));
+}
+
+void GatewayCall::OnCarriedHead(const HttpResponse& head,
+                                const AnswerHead& facts, GatewayCount count) {
+  if (over_ || !next_leg_) return;
+  answer_facts_ = facts;
+  // A refusal is taken when its answer is whole.
+  if (!IsStream(head)) return;
+  context_.metrics.Count(count);
+  ++carried_;
+  // The engine before stops when its connection closes.
+  leg_->Cancel();
+  leg_ = std::exchange(next_leg_, nullptr);
+  leg_ended_ = false;
+  streaming_ = true;
+  move_tries_ = 0;
+  splitter_.DropRest();
+}
+
+void GatewayCall::OnCarryRefused(Time now) {
+  if (over_) return;
+  context_.metrics.Count(GatewayCount::kCarryRefused);
+  if (next_leg_) {
+    tried_.insert(next_leg_->plan().server);
+    next_leg_->Cancel();
+    next_leg_ = nullptr;
+  }
+  if (!leg_ended_) return CarryByMove(now);
+  context_.metrics.Count(GatewayCount::kCarryLost);
+  AfterSend(SendEnd::kBroken, now);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/gateway_context.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <random>
+
+#include "coltsfootfork/core/gateway/gateway_metrics.h"
+#include "coltsfootfork/core/gateway/plan_index.h"
+#include "coltsfootfork/core/gateway/repeat_budget.h"
+#include "coltsfootfork/core/gateway/server_board.h"
+#include "shell/gateway/call_protocol.h"
+#include "shell/gateway/connection_pool.h"
+
+namespace coltsfootfork {
+
+struct GatewayOptions {
+  ServerBoardOptions board;
+  RepeatBudgetOptions budget;
+  // Whether streams are carried over to another engine when theirs leaves.
+  bool carry_streams = true;
+};
+
+// What the calls of one entry share.
+struct GatewayContext {
+  GatewayContext(boost::asio::io_context& event_loop,
+                 const CallProtocol& call_protocol, GatewayOptions given,
+                 std::uint64_t seed)
+      : io(event_loop),
+        protocol(call_protocol),
+        options(std::move(given)),
+        board(options.board, seed),
+        budget(options.budget),
+        pool(event_loop, call_protocol),
+        random(seed) {}
+
+  boost::asio::io_context& io;
+  const CallProtocol& protocol;
+  GatewayOptions options;
+  PlanIndex plan;
+  ServerBoard board;
+  RepeatBudget budget;
+  ConnectionPool pool;
+  GatewayMetrics metrics;
+  std::mt19937_64 random;
+  // Entries that share the servers, this one included.
+  std::uint32_t entries = 1;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/hop_fields.cc
@@ -0,0 +1,41 @@
+#include "shell/gateway/hop_fields.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <string>
+
+namespace coltsfootfork {
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr const char* kHopFields[] = {
+    "Connection", "Keep-Alive",     "Proxy-Connection",  "TE",    "Trailer",
+    "Upgrade",    "Content-Length", "Transfer-Encoding", "Expect"};
+
+bool IsNamedBy(const std::vector<HttpField>& fields, const std::string& name) {
+  for (const HttpField& field : fields) {
+    if (!beast::iequals(field.name, "Connection")) continue;
+    if (beast::http::token_list(field.value).exists(name)) return true;
+  }
+  return false;
+}
+
+bool IsHopField(const std::vector<HttpField>& fields, const std::string& name) {
+  for (const char* hop : kHopFields) {
+    if (beast::iequals(name, hop)) return true;
+  }
+  return IsNamedBy(fields, name);
+}
+
+}  // namespace
+
+std::vector<HttpField> EndToEndFields(const std::vector<HttpField>& fields) {
+  std::vector<HttpField> kept;
+  for (const HttpField& field : fields) {
+    if (!IsHopField(fields, field.name)) kept.push_back(field);
+  }
+  return kept;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/server_leg.cc
@@ -0,0 +1,76 @@
+#include "shell/gateway/server_leg.h"
+
+#include <utility>
+
+namespace coltsfootfork {
+
+ServerLeg::ServerLeg(GatewayContext& context, LegPlan plan)
+    : context_(context), plan_(std::move(plan)) {
+  context_.board.Begin(plan_.server, plan_.tokens);
+  if (!plan_.backup.empty()) {
+    context_.board.Begin(plan_.backup, plan_.tokens);
+  }
+}
+
+ServerLeg::~ServerLeg() { Release(); }
+
+void ServerLeg::Start(RequestId id, Time now, LegEvents events) {
+  id_ = std::move(id);
+  events_ = std::move(events);
+  context_.pool.Acquire(
+      plan_.wish, now,
+      [self = shared_from_this()](std::shared_ptr<ServerConnection> one) {
+        self->OnConnected(std::move(one));
+      });
+}
+
+void ServerLeg::Cancel() {
+  if (cancelled_) return;
+  cancelled_ = true;
+  events_ = LegEvents();
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection) connection->Close();
+  Release();
+}
+
+void ServerLeg::OnConnected(std::shared_ptr<ServerConnection> connection) {
+  if (cancelled_) {
+    if (connection) connection->Close();
+    return;
+  }
+  if (!connection) {
+    Release();
+    // The call may let go of this leg while it is told.
+    const auto handler = events_.on_unreached;
+    return handler();
+  }
+  connection_ = std::move(connection);
+  sent_ = true;
+  ExchangeEvents events;
+  events.on_head = [self = shared_from_this()](const HttpResponse& head,
+                                               const AnswerHead& facts) {
+    const auto handler = self->events_.on_head;
+    if (handler) handler(head, facts);
+  };
+  events.on_body = [self = shared_from_this()](std::string bytes) {
+    const auto handler = self->events_.on_body;
+    if (handler) handler(std::move(bytes));
+  };
+  events.on_end = [self = shared_from_this()](ExchangeEnd end) {
+    self->connection_ = nullptr;
+    self->Release();
+    const auto handler = self->events_.on_end;
+    self->events_ = LegEvents();
+    if (handler) handler(end);
+  };
+  connection_->Send(events_.request(), id_, std::move(events));
+}
+
+void ServerLeg::Release() {
+  if (!counted_) return;
+  counted_ = false;
+  context_.board.End(plan_.server, plan_.tokens);
+  if (!plan_.backup.empty()) context_.board.End(plan_.backup, plan_.tokens);
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/server_leg.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coltsfootfork/core/types/ids.h"
+#include "coltsfootfork/core/types/time.h"
+#include "shell/gateway/gateway_context.h"
+#include "shell/gateway/server_connection.h"
+
+namespace coltsfootfork {
+
+// What a send of a call is made of.
+struct LegPlan {
+  ServerId server;
+  std::string address;
+  // Predicted peak of the call's memory there.
+  std::uint64_t tokens = 0;
+  // The server that keeps a copy, if any, and where it is.
+  ServerId backup;
+  std::string backup_address;
+  ConnectionWish wish;
+};
+
+// What a send tells its call. Nothing is told after Cancel.
+struct LegEvents {
+  // The request's bytes, asked for when they are about to be sent.
+  std::function<std::string()> request;
+  // The server was not reached.
+  std::function<void()> on_unreached;
+  std::function<void(const HttpResponse& head, const AnswerHead& facts)>
+      on_head;
+  std::function<void(std::string bytes)> on_body;
+  std::function<void(ExchangeEnd end)> on_end;
+};
+
+// One send of a call to one server. While it lives, the server's load counts
+// the call.
+class ServerLeg : public std::enable_shared_from_this<ServerLeg> {
+ public:
+  ServerLeg(GatewayContext& context, LegPlan plan);
+  ~ServerLeg();
+  ServerLeg(const ServerLeg&) = delete;
+  ServerLeg& operator=(const ServerLeg&) = delete;
+
+  void Start(RequestId id, Time now, LegEvents events);
+  // Closes the connection if the exchange is not over, so that the server
+  // stops.
+  void Cancel();
+
+  const LegPlan& plan() const { return plan_; }
+  // The request has been handed to a connection.
+  bool is_sent() const { return sent_; }
+
+ private:
+  void OnConnected(std::shared_ptr<ServerConnection> connection);
+  void Release();
+
+  GatewayContext& context_;
+  LegPlan plan_;
+  RequestId id_;
+  LegEvents events_;
+  std::shared_ptr<ServerConnection> connection_;
+  bool counted_ = true;
+  bool cancelled_ = false;
+  bool sent_ = false;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/stream_move.cc
@@ -0,0 +1,67 @@
+#include "shell/gateway/stream_move.h"
+
+#include <chrono>
+#include <utility>
+
+#include "shell/net/http_client.h"
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+// A copy that takes longer than an engine's usual notice is of no use.
+constexpr std::chrono::milliseconds kMoveTimeout{3000};
+
+}  // namespace
+
+StreamMove::StreamMove(GatewayContext& context, RequestId id,
+                       std::string source, std::string target)
+    : context_(context),
+      id_(std::move(id)),
+      source_(std::move(source)),
+      target_(std::move(target)) {}
+
+void StreamMove::Start(Done done) {
+  done_ = std::move(done);
+  Order(/*is_final=*/false);
+}
+
+void StreamMove::Order(bool is_final) {
+  stopping_ = is_final;
+  const auto endpoint = ParseEndpoint(source_);
+  if (!endpoint) return Report({});
+  MoveOrder order;
+  order.id = id_;
+  order.target_address = target_;
+  order.is_final = is_final;
+  HttpFetch(context_.io, *endpoint, context_.protocol.WriteMove(order),
+            kMoveTimeout,
+            [self = shared_from_this(), is_final](HttpFetchResult fetched) {
+              MoveAnswer answer;
+              if (fetched.response) {
+                answer = self->context_.protocol.ReadMove(*fetched.response);
+              }
+              self->OnAnswer(is_final, answer);
+            });
+}
+
+void StreamMove::OnAnswer(bool is_final, const MoveAnswer& answer) {
+  if (!done_) return;
+  StreamMoveResult result;
+  result.end = answer.end;
+  result.handle = answer.handle;
+  if (!is_final) {
+    if (answer.end == MoveEnd::kDone) return Order(/*is_final=*/true);
+    return Report(result);
+  }
+  result.stopped = !answer.handle.empty();
+  result.at_source = answer.end != MoveEnd::kDone;
+  Report(result);
+}
+
+void StreamMove::Report(StreamMoveResult result) {
+  const auto done = std::exchange(done_, nullptr);
+  if (done) done(std::move(result));
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/gateway/stream_move.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coltsfootfork/core/types/ids.h"
+#include "shell/gateway/gateway_context.h"
+
+namespace coltsfootfork {
+
+// How the move of a running stream's memory ended.
+struct StreamMoveResult {
+  // The stream has stopped where it ran and can go on from the copy.
+  bool stopped = false;
+  // Only set when it stopped. The copy is at the target, unless `at_source`.
+  std::string handle;
+  bool at_source = false;
+  // Why not, for the log.
+  MoveEnd end = MoveEnd::kFailed;
+};
+
+// Moves the memory of a running stream from one engine to another: copies it
+// while the stream runs on, then stops the stream and copies what is new, so
+// that the pause is as short as the second copy.
+class StreamMove : public std::enable_shared_from_this<StreamMove> {
+ public:
+  using Done = std::function<void(StreamMoveResult result)>;
+
+  // Addresses are IP:PORT.
+  StreamMove(GatewayContext& context, RequestId id, std::string source,
+             std::string target);
+
+  void Start(Done done);
+  // Nothing is reported any more.
+  void Abandon() { done_ = nullptr; }
+  // The stream has been told to stop: its end is no failure.
+  bool is_stopping() const { return stopping_; }
+  const std::string& target() const { return target_; }
+
+ private:
+  void Order(bool is_final);
+  void OnAnswer(bool is_final, const MoveAnswer& answer);
+  void Report(StreamMoveResult result);
+
+  GatewayContext& context_;
+  RequestId id_;
+  std::string source_;
+  std::string target_;
+  Done done_;
+  bool stopping_ = false;
+};
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/log/buffered_log.cc
@@ -0,0 +1,69 @@
+#include "shell/log/buffered_log.h"
+
+#include <fcntl.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "shell/log/log_appender.h"
+
+namespace coltsfootfork {
+namespace {
+
+// A second of lines at the busiest; lines beyond it are dropped.
+constexpr std::size_t kMaxPendingBytes = 256U << 10U;
+// Lines are written together: a write costs more than a line.
+constexpr std::chrono::milliseconds kFlushInterval{250};
+
+class LineAppender : public log4cplus::Appender {
+ public:
+  explicit LineAppender(std::function<void(std::string line)> sink)
+      : sink_(std::move(sink)) {}
+  ~LineAppender() override { destructorImpl(); }
+  LineAppender(const LineAppender&) = delete;
+  LineAppender& operator=(const LineAppender&) = delete;
+
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    sink_(formatEvent(event));
+  }
+
+ private:
+  std::function<void(std::string line)> sink_;
+};
+
+}  // namespace
+
+BufferedLog::BufferedLog(boost::asio::io_context& io, LogLevel lowest)
+    : lines_(STDOUT_FILENO, kMaxPendingBytes), timer_(io) {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  log4cplus::SharedAppenderPtr appender(
+      new LineAppender([this](std::string line) {
+        if (!line.empty() && line.back() == '\n') line.pop_back();
+        lines_.Append(line);
+        StartFlush();
+      }));
+  StartLogTo(appender, lowest);
+}
+
+void BufferedLog::StartFlush() {
+  if (timer_set_) return;
+  timer_set_ = true;
+  timer_.expires_after(kFlushInterval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    timer_set_ = false;
+    if (!error) lines_.Flush();
+    if (!lines_.pending().empty()) StartFlush();
+  });
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/shell/log/buffered_log.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "shell/log/event.h"
+#include "shell/log/line_buffer.h"
+
+namespace coltsfootfork {
+
+// Sends the log to standard output without ever blocking the event loop. One a
+// process, for as long as the process logs.
+class BufferedLog {
+ public:
+  BufferedLog(boost::asio::io_context& io, LogLevel lowest);
+  BufferedLog(const BufferedLog&) = delete;
+  BufferedLog& operator=(const BufferedLog&) = delete;
+
+  void Flush() { lines_.Flush(); }
+  std::uint64_t dropped() const { return lines_.dropped(); }
+
+ private:
+  void StartFlush();
+
+  LineBuffer lines_;
+  boost::asio::steady_timer timer_;
+  bool timer_set_ = false;
+};
+
+}  // namespace coltsfootfork
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "shell/log/log_appender.h"
+
 namespace coltsfootfork {
 namespace {
 
@@ -46,6 +48,9 @@
       {Event::kListening, "listening"},
       {Event::kStopping, "stopping"},
       {Event::kStopped, "stopped"},
+      {Event::kSettingsRead, "settings_read"},
+      {Event::kSettingsRefused, "settings_refused"},
+      {Event::kReadiness, "readiness"},
       {Event::kLinkUp, "link_up"},
       {Event::kLinkDown, "link_down"},
       {Event::kLinkRefused, "link_refused"},
@@ -53,12 +58,16 @@
       {Event::kConfigurationRefused, "configuration_refused"},
       {Event::kConfigurationUnconfirmed, "configuration_unconfirmed"},
       {Event::kInventoryMismatch, "inventory_mismatch"},
+      {Event::kConfigurationPut, "configuration_put"},
       {Event::kServerAnnounced, "server_announced"},
       {Event::kServerDraining, "server_draining"},
       {Event::kOrderRefused, "order_refused"},
       {Event::kServerFinding, "server_finding"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
+      {Event::kCallEnded, "call_ended"},
+      {Event::kCallSentAgain, "call_sent_again"},
+      {Event::kStreamCarried, "stream_carried"},
       {Event::kBecameLeader, "became_leader"},
       {Event::kLostLeadership, "lost_leadership"},
       {Event::kReplicaFailed, "replica_failed"},
@@ -79,9 +88,13 @@
 void EndLogThreads() { log4cplus::deinitialize(); }
 
 void StartLog(LogLevel lowest) {
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
+  StartLogTo(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(
+                 /*logToStdErr=*/true, /*immediateFlush=*/true)),
+             lowest);
+}
+
+void StartLogTo(const log4cplus::SharedAppenderPtr& appender,
+                LogLevel lowest) {
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n")));
   log4cplus::Logger logger =
--- /dev/null
+++ b/src/shell/log/log_appender.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <log4cplus/appender.h>
+
+#include "shell/log/event.h"
+
+namespace coltsfootfork {
+
+// Opens the log on an appender, with the project's line layout.
+void StartLogTo(const log4cplus::SharedAppenderPtr& appender, LogLevel lowest);
+
+}  // namespace coltsfootfork
--- a/src/shell/net/http_server.cc
+++ b/src/shell/net/http_server.cc
@@ -68,6 +68,7 @@
 
 void HttpServer::Stop() {
   stopping_ = true;
+  keep_alive_ = false;
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   accept_pause_.cancel();
--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -48,7 +48,8 @@
   virtual ~HttpExchange() = default;
 
   virtual void Respond(HttpResponse response) = 0;
-  virtual void StartStream(int status, std::string_view content_type) = 0;
+  // Begins a stream with the head's status, content type and fields.
+  virtual void StartStream(HttpResponse head) = 0;
   virtual void WriteChunk(std::string_view bytes) = 0;
   virtual void FinishStream() = 0;
   // Ends a stream so that the caller sees that it is not whole.
@@ -62,8 +63,10 @@
 struct HttpLimits {
   std::size_t header_bytes = 16U << 10U;
   std::size_t body_bytes = 1U << 20U;
-  // How long a connection may take to send a request, or stay idle.
-  std::chrono::seconds read_timeout{30};
+  // How long a connection may take to send a request.
+  std::chrono::milliseconds read_timeout{30000};
+  // How long it may stay idle before a request.
+  std::chrono::milliseconds idle_timeout{30000};
   // How long one write may stand still before the caller counts as gone.
   std::chrono::seconds write_timeout{30};
 };
@@ -87,6 +90,10 @@
 
   // The address in use, with the port that the kernel chose.
   boost::asio::ip::tcp::endpoint local_endpoint() const;
+  // For connections and requests from now on.
+  void SetLimits(const HttpLimits& limits) { limits_ = limits; }
+  // From now on each answer is the last one of its connection.
+  void EndKeepAlive() { keep_alive_ = false; }
   // Takes no new connection, closes idle ones, and closes the others once
   // their answer is written.
   void Stop();
@@ -104,6 +111,7 @@
   HttpLimits limits_;
   Handler handler_;
   bool stopping_ = false;
+  bool keep_alive_ = true;
   std::set<HttpSession*> sessions_;
 };
 
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -41,7 +41,9 @@
 }  // namespace
 
 HttpSession::HttpSession(HttpServer* server, asio::ip::tcp::socket socket)
-    : server_(server), stream_(std::move(socket)) {
+    : server_(server),
+      stream_(std::move(socket)),
+      idle_timer_(stream_.get_executor()) {
   error_code ignored;
   stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   server_->sessions_.insert(this);
@@ -51,17 +53,42 @@
   if (server_ != nullptr) server_->sessions_.erase(this);
 }
 
-void HttpSession::Start() { Read(); }
+void HttpSession::Start() { AwaitRequest(); }
 
 void HttpSession::CloseWhenIdle() {
   keep_alive_ = false;
   if (state_ == State::kReading) Close();
 }
 
-void HttpSession::Read() {
+bool HttpSession::MayKeepAlive() {
+  if (server_ != nullptr && !server_->keep_alive_) keep_alive_ = false;
+  return keep_alive_;
+}
+
+void HttpSession::AwaitRequest() {
   if (server_ == nullptr) return Close();
   state_ = State::kReading;
   answer_whole_ = false;
+  if (buffer_.size() > 0) return Read();
+  idle_timer_.expires_after(server_->limits_.idle_timeout);
+  idle_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && self->idle_) self->Close();
+  });
+  idle_ = true;
+  stream_.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](error_code error) {
+        self->idle_ = false;
+        self->idle_timer_.cancel();
+        if (self->state_ != State::kReading) return;
+        if (error) return self->Close();
+        self->Read();
+      });
+}
+
+void HttpSession::Read() {
+  if (server_ == nullptr) return Close();
   parser_.emplace();
   parser_->header_limit(
       static_cast<std::uint32_t>(server_->limits_.header_bytes));
@@ -78,7 +105,7 @@
   if (error) return RespondToBadRequest(error);
   stream_.expires_never();
   state_ = State::kHandling;
-  keep_alive_ = keep_alive_ && parser_->keep_alive() && !server_->stopping_;
+  keep_alive_ = keep_alive_ && parser_->keep_alive() && server_->keep_alive_;
   WatchForDisconnect();
   server_->handler_(ToRequest(parser_->release()), shared_from_this());
 }
@@ -130,26 +157,28 @@
     message.set(http::field::content_type, response.content_type);
   }
   for (const HttpField& field : response.fields) {
-    message.set(field.name, field.value);
+    message.insert(field.name, field.value);
   }
-  message.keep_alive(keep_alive_);
+  message.keep_alive(MayKeepAlive());
   message.body() = std::move(response.body);
   message.prepare_payload();
   answer_whole_ = true;
   Queue(ToText(message));
 }
 
-void HttpSession::StartStream(int status, std::string_view content_type) {
+void HttpSession::StartStream(HttpResponse head) {
   if (state_ != State::kHandling) return;
   state_ = State::kStreaming;
   http::response<http::empty_body> header;
   header.version(kHttp11);
-  header.result(static_cast<unsigned>(status));
-  header.set(
-      http::field::content_type,
-      boost::beast::string_view(content_type.data(), content_type.size()));
-  header.set(http::field::cache_control, "no-store");
-  header.keep_alive(keep_alive_);
+  header.result(static_cast<unsigned>(head.status));
+  if (!head.content_type.empty()) {
+    header.set(http::field::content_type, head.content_type);
+  }
+  for (const HttpField& field : head.fields) {
+    header.insert(field.name, field.value);
+  }
+  header.keep_alive(MayKeepAlive());
   header.chunked(true);
   Queue(ToText(header.base()));
 }
@@ -207,7 +236,7 @@
   error_code ignored;
   stream_.socket().cancel(ignored);
   if (!keep_alive_) return Close();
-  Read();
+  AwaitRequest();
 }
 
 void HttpSession::Gone() {
@@ -220,6 +249,7 @@
 void HttpSession::Close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
+  idle_timer_.cancel();
   error_code ignored;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   stream_.close();
--- a/src/shell/net/http_session.h
+++ b/src/shell/net/http_session.h
@@ -29,7 +29,7 @@
   void Detach() { server_ = nullptr; }
 
   void Respond(HttpResponse response) override;
-  void StartStream(int status, std::string_view content_type) override;
+  void StartStream(HttpResponse head) override;
   void WriteChunk(std::string_view bytes) override;
   void FinishStream() override;
   void AbortStream() override;
@@ -42,6 +42,8 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  // Waits for the first byte of a request: an idle connection holds no buffer.
+  void AwaitRequest();
   void Read();
   void OnRead(boost::system::error_code error);
   void RespondToBadRequest(boost::system::error_code error);
@@ -50,11 +52,15 @@
   void WriteNext();
   void OnWritten(boost::system::error_code error);
   void FinishAnswer();
+  // Settles whether the connection outlives the answer that now begins.
+  bool MayKeepAlive();
   void Gone();
   void Close();
 
   HttpServer* server_;
   boost::beast::tcp_stream stream_;
+  boost::asio::steady_timer idle_timer_;
+  bool idle_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   State state_ = State::kReading;
--- /dev/null
+++ b/src/shell/net/socket_options.cc
@@ -0,0 +1,33 @@
+#include "shell/net/socket_options.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/detail/socket_option.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+namespace asio = boost::asio;
+
+template <int kName>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
+
+constexpr int kUserTimeoutMs = 3000;
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeEverySeconds = 1;
+constexpr int kProbes = 2;
+
+}  // namespace
+
+void SetLinkOptions(asio::ip::tcp::socket& socket) {
+  // A connection without an option still serves: it only ends later.
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kUserTimeoutMs), ignored);
+  socket.set_option(TcpOption<TCP_KEEPIDLE>(kProbeAfterSeconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPINTVL>(kProbeEverySeconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPCNT>(kProbes), ignored);
+}
+
+}  // namespace coltsfootfork
--- a/src/shell/process/caller_answer.cc
+++ b/src/shell/process/caller_answer.cc
@@ -97,7 +97,8 @@
 void CallerAnswer::StartStream() {
   if (started_) return;
   started_ = true;
-  exchange_->StartStream(200, "text/event-stream");
+  exchange_->StartStream(
+      {200, "text/event-stream", {{"Cache-Control", "no-store"}}, {}});
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/process/process_context.h
+++ b/src/shell/process/process_context.h
@@ -5,6 +5,7 @@
 #include "coltsfootfork/core/configuration/configuration_follower.h"
 #include "coltsfootfork/core/metrics/metrics_registry.h"
 #include "coltsfootfork/core/types/time.h"
+#include "shell/clock/monotonic_now.h"
 #include "shell/process/control_client.h"
 #include "shell/process/peer_hub.h"
 #include "shell/process/settings.h"
@@ -22,7 +23,4 @@
   MetricsRegistry& metrics;
 };
 
-// The monotonic clock, read. Only the shell reads it.
-Time MonotonicNow();
-
 }  // namespace coltsfootfork
