storage: Open a folder whose files were numbered anew, where that is usual

Ruled out: lost or torn files (the log read back whole once the check was off), elections (none was reached).

--- a/include/coltsfootfork/shell/storage/disk_log.h
+++ b/include/coltsfootfork/shell/storage/disk_log.h
@@ -27,6 +27,10 @@
   std::string folder;
   // A new segment file begins after so many bytes.
   std::size_t segment_bytes = 4 * kBytesPerMebibyte;
+  // Whether a folder whose files have other numbers than when they were made is
+  // refused as a copy. Unset where the storage numbers its files anew whenever
+  // it is attached; a restored folder cannot be told there.
+  bool refuse_copies = true;
   // Asked before each step; an errno other than zero makes the step fail.
   std::function<int(StorageStep)> fault = nullptr;
 };
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -44,7 +44,7 @@
   if (!options_.data_folder.empty()) {
     replica_ = std::make_unique<ReplicaHost>(
         ReplicaHostOptions{options_.self, options_.zone, options_.data_folder,
-                           options_.seed},
+                           options_.refuse_copies, options_.seed},
         register_,
         [this](const std::string& to, std::string bytes) {
           SendTo(to, ReplicaPayload{std::move(bytes)});
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -32,6 +32,8 @@
   std::vector<std::string> seeds;
   // Empty for a process that never votes.
   std::string data_folder;
+  // See DiskLogOptions.
+  bool refuse_copies = true;
   // The whole fleet starts for the first time.
   bool is_first_start = false;
   std::uint64_t seed = 0;
--- a/src/shell/fleet/replica_host.cc
+++ b/src/shell/fleet/replica_host.cc
@@ -28,11 +28,13 @@
       {{"place", error.place}, {"problem", error.problem}});
 }
 
-std::unique_ptr<DiskLog> OpenDisk(const std::string& folder) {
+std::unique_ptr<DiskLog> OpenDisk(const std::string& folder,
+                                  bool refuse_copies) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<std::unique_ptr<DiskLog>> {
         DiskLogOptions options;
         options.folder = folder;
+        options.refuse_copies = refuse_copies;
         return DiskLog::Open(std::move(options));
       },
       [](const StorageError& error) -> std::unique_ptr<DiskLog> {
@@ -76,7 +78,7 @@
 }
 
 void ReplicaHost::Open(Time now) {
-  disk_ = OpenDisk(options_.data_folder);
+  disk_ = OpenDisk(options_.data_folder, options_.refuse_copies);
   if (!disk_) {
     reopen_at_ = now + kReopenPause;
     return;
--- a/src/shell/fleet/replica_host.h
+++ b/src/shell/fleet/replica_host.h
@@ -21,6 +21,8 @@
   std::string self;
   ZoneId zone;
   std::string data_folder;
+  // See DiskLogOptions.
+  bool refuse_copies = true;
   std::uint64_t seed = 0;
 };
 
--- a/src/shell/serving/serving_settings.cc
+++ b/src/shell/serving/serving_settings.cc
@@ -155,6 +155,8 @@
   settings.control_seeds = reader.Hosts("control_seeds");
   settings.is_first_start = reader.Flag("is_first_start", false);
   settings.data_folder = reader.Text("data_folder", /*required=*/false);
+  settings.refuse_copies =
+      reader.Flag("refuse_copies", settings.refuse_copies);
   settings.stop_within = reader.Seconds("stop_within_s", settings.stop_within);
   settings.repeat_ratio =
       reader.Fraction("repeat_ratio", settings.repeat_ratio);
--- a/src/shell/serving/serving_settings.h
+++ b/src/shell/serving/serving_settings.h
@@ -32,6 +32,8 @@
   bool is_first_start = false;
   // Empty without a disk.
   std::string data_folder;
+  // Whether a data folder whose files were numbered anew is taken for a copy.
+  bool refuse_copies = true;
   // From the request to stop until the process is ended from outside.
   std::chrono::milliseconds stop_within{8000};
   double repeat_ratio = 0.2;
--- a/src/shell/storage/data_folder.h
+++ b/src/shell/storage/data_folder.h
@@ -16,7 +16,8 @@
   // Makes the folder when it is missing, locks it, and gives it a new identity
   // when it has neither an identity nor any log.
   static boost::leaf::result<DataFolder> Open(const std::string& path,
-                                              const StorageFault& fault);
+                                              const StorageFault& fault,
+                                              bool refuse_copies);
 
   const std::string& path() const { return path_; }
   Incarnation incarnation() const { return incarnation_; }
@@ -30,7 +31,7 @@
   DataFolder(std::string path, FileWriter lock)
       : path_(std::move(path)), lock_(std::move(lock)) {}
 
-  boost::leaf::result<void> LoadIdentity();
+  boost::leaf::result<void> LoadIdentity(bool refuse_copies);
   boost::leaf::result<void> MakeIdentity(const StorageFault& fault);
 
   std::string path_;
--- a/src/shell/storage/disk_log.cc
+++ b/src/shell/storage/disk_log.cc
@@ -153,7 +153,8 @@
 DiskLog::~DiskLog() = default;
 
 leaf::result<std::unique_ptr<DiskLog>> DiskLog::Open(DiskLogOptions options) {
-  BOOST_LEAF_AUTO(folder, DataFolder::Open(options.folder, options.fault));
+  BOOST_LEAF_AUTO(folder, DataFolder::Open(options.folder, options.fault,
+                                           options.refuse_copies));
   BOOST_LEAF_AUTO(content, ReadFolder(folder));
   const std::uint64_t torn_bytes = content.torn_bytes;
   const bool needs_reset = content.needs_reset;
--- a/tests/shell/storage/disk_log_test.cc
+++ b/tests/shell/storage/disk_log_test.cc
@@ -254,6 +254,21 @@
              std::string::npos);
 }
 
+// Some storage numbers its files anew when it is attached to a restarted host.
+BOOST_AUTO_TEST_CASE(AFolderNumberedAnewIsOpenedWhereThatIsUsual) {
+  const ScratchFolder scratch;
+  Write(*Open({scratch.data()}).log, Entries(1, 1));
+  const std::string copy = scratch.data() + "-copy";
+  fs::copy(scratch.data(), copy);
+  DiskLogOptions options;
+  options.folder = copy;
+  options.refuse_copies = false;
+  const auto opened = Open(options);
+  BOOST_TEST(opened.error == "");
+  BOOST_REQUIRE(opened.log != nullptr);
+  BOOST_TEST(opened.log->TakeRecovered().entries.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ALogWithoutIdentityIsRefused) {
   const ScratchFolder scratch;
   Write(*Open({scratch.data()}).log, Entries(1, 1));
