--- a/include/coltsfootfork/core/fleet/server_load.h
+++ b/include/coltsfootfork/core/fleet/server_load.h
@@ -13,6 +13,8 @@
   std::uint32_t calls = 0;
   // Engine memory at the calls' predicted peaks, in tokens.
   std::uint64_t tokens = 0;
+  // Of these, prompts of calls that have not begun to answer.
+  std::uint64_t unread = 0;
 };
 
 using FleetLoad = std::map<ServerId, ServerLoad>;
--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -41,6 +41,9 @@
   std::uint64_t tokens = 0;
   // Servers that were tried already.
   std::set<ServerId> excluded;
+  // The part of an engine's memory that the call may fill it up to, of what
+  // predicted peaks may fill at all.
+  double fill = 1.0;
 };
 
 struct ServerChoice {
@@ -52,8 +55,9 @@
 
 // What one entry knows of the servers: the directory, its own calls under way,
 // those of the other entries as last told, and how calls ended lately. Loads
-// that others tell are some hundred milliseconds old; near ties are broken by
-// lot, so that entries with the same view do not all choose the same server.
+// that others tell are some hundred milliseconds old, so a call is placed on the
+// best of a few servers drawn by lot: entries with the same view must not all
+// choose the one that looks emptiest.
 class ServerBoard {
  public:
   ServerBoard(const ServerBoardOptions& options, std::uint64_t seed);
@@ -63,14 +67,17 @@
   // What the other entries' calls take; replaces what was known.
   void SetOthers(FleetLoad others);
 
-  void Begin(const ServerId& id, std::uint64_t tokens);
-  void End(const ServerId& id, std::uint64_t tokens);
+  void Begin(const ServerId& id, const ServerLoad& load);
+  void End(const ServerId& id, const ServerLoad& load);
+  // A call's prompt has been read.
+  void OnRead(const ServerId& id, std::uint64_t unread);
   // A call was answered by the server itself, with a failure or not.
   void OnAnswered(const ServerId& id, bool failed);
   // The server could not be reached, or fell silent.
   void OnUnreachable(const ServerId& id, Time now);
 
-  // The best server that may get new calls, or nothing.
+  // A good server that may get new calls, or nothing. One that the call fits is
+  // preferred to any that it does not.
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
 
   // Whether the server may get new calls, by the directory.
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -29,6 +29,7 @@
   archive("s", m.server);
   archive("c", m.load.calls);
   archive("t", m.load.tokens);
+  archive("u", m.load.unread);
 }
 
 template <typename A>
--- a/src/core/fleet/server_load.cc
+++ b/src/core/fleet/server_load.cc
@@ -21,6 +21,7 @@
   for (const auto& [server, load] : more) {
     sum[server].calls += load.calls;
     sum[server].tokens += load.tokens;
+    sum[server].unread += load.unread;
   }
 }
 
@@ -30,6 +31,7 @@
     if (found == sum.end()) continue;
     found->second.calls -= std::min(found->second.calls, load.calls);
     found->second.tokens -= std::min(found->second.tokens, load.tokens);
+    found->second.unread -= std::min(found->second.unread, load.unread);
   }
 }
 
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -10,8 +10,9 @@
 constexpr double kNewestWeight = 0.1;
 // How much a server that fails all its calls counts as further loaded.
 constexpr double kFailureLoad = 3.0;
-// Differences of load below this are settled by lot.
-constexpr double kNearTie = 0.02;
+// Servers that are drawn to choose from. Two already spread well (the power of
+// two choices); three find room more often when much is full.
+constexpr std::size_t kDrawn = 3;
 // Slots that a plain server's queue holds beyond those at work, as a multiple.
 constexpr double kQueueOfSlots = 2.0;
 
@@ -49,16 +50,23 @@
   }
 }
 
-void ServerBoard::Begin(const ServerId& id, std::uint64_t tokens) {
+void ServerBoard::Begin(const ServerId& id, const ServerLoad& load) {
   ServerLoad& own = servers_[id].own;
-  ++own.calls;
-  own.tokens += tokens;
+  own.calls += load.calls;
+  own.tokens += load.tokens;
+  own.unread += load.unread;
 }
 
-void ServerBoard::End(const ServerId& id, std::uint64_t tokens) {
+void ServerBoard::End(const ServerId& id, const ServerLoad& load) {
   ServerLoad& own = servers_[id].own;
-  own.calls -= std::min<std::uint32_t>(own.calls, 1);
-  own.tokens -= std::min(own.tokens, tokens);
+  own.calls -= std::min(own.calls, load.calls);
+  own.tokens -= std::min(own.tokens, load.tokens);
+  own.unread -= std::min(own.unread, load.unread);
+}
+
+void ServerBoard::OnRead(const ServerId& id, std::uint64_t unread) {
+  ServerLoad& own = servers_[id].own;
+  own.unread -= std::min(own.unread, unread);
 }
 
 void ServerBoard::OnAnswered(const ServerId& id, bool failed) {
@@ -84,39 +92,32 @@
 
 std::optional<ServerChoice> ServerBoard::Pick(const ServerQuery& query,
                                               Time now) {
-  struct Candidate {
-    const Server* server;
-    double load;
-    bool fits;
-  };
-  std::vector<Candidate> candidates;
-  bool any_reachable = false;
+  std::vector<const Server*> reachable;
+  std::vector<const Server*> avoided;
   for (const auto& [id, server] : servers_) {
     const bool serves = server.record.state == ServerState::kReady &&
                         server.record.service == query.service &&
                         query.excluded.count(id) == 0;
     if (!serves) continue;
-    const bool reachable = now >= server.avoid_until;
-    // A server that is passed over still serves better than none.
-    if (!reachable && any_reachable) continue;
-    if (reachable && !any_reachable) candidates.clear();
-    any_reachable = any_reachable || reachable;
-    candidates.push_back(
-        {&server, LoadOf(server, query, now), Fits(server, query)});
+    (now >= server.avoid_until ? reachable : avoided).push_back(&server);
   }
+  // A server that is passed over still serves better than none.
+  std::vector<const Server*>& candidates =
+      reachable.empty() ? avoided : reachable;
   if (candidates.empty()) return std::nullopt;
-  const auto best = std::min_element(
+  const auto first_unfit =
+      std::partition(candidates.begin(), candidates.end(),
+                     [&](const Server* one) { return Fits(*one, query); });
+  const bool fits = first_unfit != candidates.begin();
+  if (fits) candidates.erase(first_unfit, candidates.end());
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  candidates.resize(std::min(candidates.size(), kDrawn));
+  const Server& chosen = **std::min_element(
       candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.load < b.load; });
-  const double limit = best->load + kNearTie;
-  std::vector<const Candidate*> ties;
-  for (const Candidate& one : candidates) {
-    if (one.load <= limit) ties.push_back(&one);
-  }
-  std::uniform_int_distribution<std::size_t> lot(0, ties.size() - 1);
-  const Candidate& chosen = *ties[lot(random_)];
-  return ServerChoice{chosen.server->record.id, chosen.server->record.address,
-                      chosen.fits};
+      [&](const Server* a, const Server* b) {
+        return LoadOf(*a, query, now) < LoadOf(*b, query, now);
+      });
+  return ServerChoice{chosen.record.id, chosen.record.address, fits};
 }
 
 bool ServerBoard::IsServing(const ServerId& id) const {
@@ -162,7 +163,7 @@
   if (calls >= server.record.slots) return false;
   const auto tokens = static_cast<double>(server.own.tokens +
                                           server.others.tokens + query.tokens);
-  return tokens <= options_.memory_share *
+  return tokens <= query.fill * options_.memory_share *
                        static_cast<double>(query.engine->memory_tokens);
 }
 
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -150,7 +150,7 @@
   LegPlan leg;
   leg.server = choice.id;
   leg.address = choice.address;
-  leg.tokens = tokens_;
+  leg.load = {1, tokens_, head_.prompt_tokens};
   leg.wish.server = choice.id;
   leg.wish.address = choice.address;
   leg.wish.limit = std::max<std::uint32_t>(
@@ -243,8 +243,20 @@
   }
   if (events.empty()) return;
   exchange_->WriteChunk(events);
+  const Time now = MonotonicNow();
+  leg_->OnRead();
+  NoteEvents(now);
   // The engine announced its leaving before the stream had begun.
-  if (leaving_) Carry(MonotonicNow());
+  if (leaving_) Carry(now);
+}
+
+void GatewayCall::NoteEvents(Time now) {
+  if (first_event_at_ == Time()) {
+    first_event_at_ = now;
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
 }
 
 void GatewayCall::OnEnd(ExchangeEnd end) {
@@ -375,6 +387,13 @@
        {"sends", std::to_string(sends_)},
        {"carried", std::to_string(carried_)},
        {"ms", std::to_string(ToMilliseconds(taken))},
+       {"first_ms",
+        first_event_at_ == Time()
+            ? std::string()
+            : std::to_string(ToMilliseconds(first_event_at_ - arrived_))},
+       {"pause_ms", std::to_string(ToMilliseconds(longest_pause_))},
+       {"event", std::to_string(last_event_.value_or(0))},
+       {"tokens", std::to_string(tokens_)},
        {"plan", std::to_string(plan_.plan().version)}});
   if (leg_) leg_->Cancel();
   if (next_leg_) next_leg_->Cancel();
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -62,6 +62,8 @@
   void OnEnd(ExchangeEnd end);
   void OnStreamEnd(ExchangeEnd end, Time now);
   void ForwardEvents(std::string_view bytes);
+  // Keeps the times of the stream's events.
+  void NoteEvents(Time now);
   void Deliver();
   bool IsStream(const HttpResponse& head) const;
 
@@ -130,6 +132,11 @@
   // The present leg's stream ended while a carry-over is under way.
   bool leg_ended_ = false;
   bool over_ = false;
+
+  // What the caller saw of the stream, for the log.
+  Time first_event_at_;
+  Time last_event_at_;
+  Duration longest_pause_{0};
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -11,6 +11,22 @@
 
 // Targets that one stream's move is tried with.
 constexpr std::uint32_t kMoveTries = 4;
+const char* MoveEndName(MoveEnd end) {
+  switch (end) {
+    case MoveEnd::kDone:
+      return "done";
+    case MoveEnd::kUnknown:
+      return "unknown";
+    case MoveEnd::kBusy:
+      return "busy";
+    case MoveEnd::kNoRoom:
+      return "no_room";
+    case MoveEnd::kFailed:
+      break;
+  }
+  return "failed";
+}
+
 // Backups may fill an engine up to this part, so that calls still find room.
 constexpr double kBackupFill = 0.75;
 
@@ -22,12 +38,8 @@
                       route_->kind == CallKind::kStreaming &&
                       !route_->MayRepeat();
   if (!wanted) return;
-  // A smaller memory stands for the part that is kept free of backups.
-  EngineProfile limited = *service_->engine;
-  limited.memory_tokens = static_cast<std::uint64_t>(
-      kBackupFill * static_cast<double>(limited.memory_tokens));
   ServerQuery query = QueryFor(tokens_);
-  query.engine = &limited;
+  query.fill = kBackupFill;
   query.excluded.insert(leg.server);
   const auto choice = context_.board.Pick(query, now);
   if (!choice || !choice->fits) return;
@@ -92,6 +104,11 @@
   const std::string target_address = move_->target();
   move_ = nullptr;
   if (!result.stopped) {
+    Log(LogLevel::kInfo, Event::kCarryRefused,
+        {{"id", head_.id.value()},
+         {"from", leg_->plan().server.value()},
+         {"to", target.value()},
+         {"end", MoveEndName(result.end)}});
     context_.metrics.Count(GatewayCount::kCarryRefused);
     if (leg_ended_) return OnCarryRefused(now);
     tried_.insert(target);
@@ -116,6 +133,8 @@
        {"way", count == GatewayCount::kCarriedByMove ? "move" : "backup"},
        {"event", std::to_string(last_event_.value_or(0))}});
   LegPlan plan = PlanLeg({server, address, true}, now);
+  // Its memory holds the prompt already.
+  plan.load.unread = 0;
   next_leg_ = std::make_shared<ServerLeg>(context_, std::move(plan));
   LegEvents events = EventsOf(next_leg_, source);
   const auto self = shared_from_this();
@@ -156,6 +175,11 @@
 void GatewayCall::OnCarryRefused(Time now) {
   if (over_) return;
   context_.metrics.Count(GatewayCount::kCarryRefused);
+  Log(LogLevel::kInfo, Event::kCarryRefused,
+      {{"id", head_.id.value()},
+       {"from", leg_->plan().server.value()},
+       {"to", next_leg_ ? next_leg_->plan().server.value() : std::string()},
+       {"end", leg_ended_ ? "source_ended" : "refused"}});
   if (next_leg_) {
     tried_.insert(next_leg_->plan().server);
     next_leg_->Cancel();
--- a/src/shell/gateway/server_leg.cc
+++ b/src/shell/gateway/server_leg.cc
@@ -6,9 +6,9 @@
 
 ServerLeg::ServerLeg(GatewayContext& context, LegPlan plan)
     : context_(context), plan_(std::move(plan)) {
-  context_.board.Begin(plan_.server, plan_.tokens);
+  context_.board.Begin(plan_.server, plan_.load);
   if (!plan_.backup.empty()) {
-    context_.board.Begin(plan_.backup, plan_.tokens);
+    context_.board.Begin(plan_.backup, BackupLoad());
   }
 }
 
@@ -69,8 +69,18 @@
 void ServerLeg::Release() {
   if (!counted_) return;
   counted_ = false;
-  context_.board.End(plan_.server, plan_.tokens);
-  if (!plan_.backup.empty()) context_.board.End(plan_.backup, plan_.tokens);
+  context_.board.End(plan_.server, plan_.load);
+  if (!plan_.backup.empty()) context_.board.End(plan_.backup, BackupLoad());
+}
+
+void ServerLeg::OnRead() {
+  if (!counted_) return;
+  context_.board.OnRead(plan_.server, plan_.load.unread);
+  plan_.load.unread = 0;
+}
+
+ServerLoad ServerLeg::BackupLoad() const {
+  return {plan_.load.calls, plan_.load.tokens, 0};
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/server_leg.h
+++ b/src/shell/gateway/server_leg.h
@@ -15,8 +15,8 @@
 struct LegPlan {
   ServerId server;
   std::string address;
-  // Predicted peak of the call's memory there.
-  std::uint64_t tokens = 0;
+  // What the call takes there.
+  ServerLoad load;
   // The server that keeps a copy, if any, and where it is.
   ServerId backup;
   std::string backup_address;
@@ -49,6 +49,9 @@
   // stops.
   void Cancel();
 
+  // The server has begun to answer.
+  void OnRead();
+
   const LegPlan& plan() const { return plan_; }
   // The request has been handed to a connection.
   bool is_sent() const { return sent_; }
@@ -56,6 +59,8 @@
  private:
   void OnConnected(std::shared_ptr<ServerConnection> connection);
   void Release();
+  // What a copy of the call takes where it is kept.
+  ServerLoad BackupLoad() const;
 
   GatewayContext& context_;
   LegPlan plan_;
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -68,6 +68,7 @@
       {Event::kCallEnded, "call_ended"},
       {Event::kCallSentAgain, "call_sent_again"},
       {Event::kStreamCarried, "stream_carried"},
+      {Event::kCarryRefused, "carry_refused"},
       {Event::kBecameLeader, "became_leader"},
       {Event::kLostLeadership, "lost_leadership"},
       {Event::kReplicaFailed, "replica_failed"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -35,6 +35,7 @@
   kCallEnded = 5003,
   kCallSentAgain = 5004,
   kStreamCarried = 5005,
+  kCarryRefused = 5006,
   kBecameLeader = 6001,
   kLostLeadership = 6002,
   kReplicaFailed = 6003,
