--- /dev/null
+++ b/include/coltsfootfork/core/gateway/admission.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "coltsfootfork/core/types/time.h"
+
+// How calls to crowded engines are admitted, made to wait and refused.
+namespace coltsfootfork {
+
+// A caller that comes before any plan is known should come back when a fleet
+// that has just started has elected a leader again.
+inline constexpr std::chrono::milliseconds kRetryAfterNoPlan{2000};
+
+// The part of an engine's usable memory that calls of a rank may fill. The rest
+// is kept for what is more urgent, and for streams that must leave another
+// engine: losing one of those costs more than making a new one wait.
+double FillOfRank(std::uint32_t rank);
+
+// How long a call may wait for room: the most urgent a little, since an engine
+// preempts others for them, the others until an answer could not come in time
+// any more. `goal` is the route's latency goal.
+Duration LongestWait(std::uint32_t rank, std::chrono::milliseconds goal);
+
+// When a caller that waited in vain should come back: most callers honour up to
+// a third of the time that they have left, and come back once.
+std::chrono::milliseconds RetryAfterNoRoom(Duration patience_left);
+
+}  // namespace coltsfootfork
--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -80,6 +80,14 @@
   // preferred to any that it does not.
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
 
+  // A server for a running call that must go on elsewhere: one that it fits, of
+  // the zone where it runs if there is any, chosen by the call's name. Calls that
+  // leave an engine together, at entries that do not know of each other, spread
+  // over all servers, and so over their links.
+  std::optional<ServerChoice> PickRefuge(const ServerQuery& query,
+                                         const ZoneId& zone,
+                                         const RequestId& call, Time now) const;
+
   // Whether the server may get new calls, by the directory.
   bool IsServing(const ServerId& id) const;
   const ServerRecord* Find(const ServerId& id) const;
@@ -97,6 +105,8 @@
     double failures = 0;
   };
 
+  std::vector<const Server*> Reachable(const ServerQuery& query,
+                                       Time now) const;
   double LoadOf(const Server& server, const ServerQuery& query, Time now) const;
   bool Fits(const Server& server, const ServerQuery& query) const;
 
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -1,5 +1,7 @@
 #include "coltsfootfork/core/gateway/server_board.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -92,18 +94,7 @@
 
 std::optional<ServerChoice> ServerBoard::Pick(const ServerQuery& query,
                                               Time now) {
-  std::vector<const Server*> reachable;
-  std::vector<const Server*> avoided;
-  for (const auto& [id, server] : servers_) {
-    const bool serves = server.record.state == ServerState::kReady &&
-                        server.record.service == query.service &&
-                        query.excluded.count(id) == 0;
-    if (!serves) continue;
-    (now >= server.avoid_until ? reachable : avoided).push_back(&server);
-  }
-  // A server that is passed over still serves better than none.
-  std::vector<const Server*>& candidates =
-      reachable.empty() ? avoided : reachable;
+  std::vector<const Server*> candidates = Reachable(query, now);
   if (candidates.empty()) return std::nullopt;
   const auto first_unfit =
       std::partition(candidates.begin(), candidates.end(),
@@ -120,6 +111,42 @@
   return ServerChoice{chosen.record.id, chosen.record.address, fits};
 }
 
+std::vector<const ServerBoard::Server*> ServerBoard::Reachable(
+    const ServerQuery& query, Time now) const {
+  std::vector<const Server*> reachable;
+  std::vector<const Server*> avoided;
+  for (const auto& [id, server] : servers_) {
+    const bool serves = server.record.state == ServerState::kReady &&
+                        server.record.service == query.service &&
+                        query.excluded.count(id) == 0;
+    if (!serves) continue;
+    (now >= server.avoid_until ? reachable : avoided).push_back(&server);
+  }
+  // A server that is passed over still serves better than none.
+  return reachable.empty() ? avoided : reachable;
+}
+
+std::optional<ServerChoice> ServerBoard::PickRefuge(const ServerQuery& query,
+                                                    const ZoneId& zone,
+                                                    const RequestId& call,
+                                                    Time now) const {
+  const Server* best = nullptr;
+  std::uint64_t best_rank = 0;
+  for (const Server* server : Reachable(query, now)) {
+    if (!Fits(*server, query)) continue;
+    const std::string pair = call.value() + '\n' + server->record.id.value();
+    // The zone goes first, the lot decides within it.
+    constexpr std::uint64_t kOwnZone = std::uint64_t{1} << 63U;
+    std::uint64_t rank = XXH64(pair.data(), pair.size(), 0) >> 1U;
+    if (server->record.zone == zone) rank |= kOwnZone;
+    if (best != nullptr && rank <= best_rank) continue;
+    best = server;
+    best_rank = rank;
+  }
+  if (best == nullptr) return std::nullopt;
+  return ServerChoice{best->record.id, best->record.address, true};
+}
+
 bool ServerBoard::IsServing(const ServerId& id) const {
   const ServerRecord* record = Find(id);
   return record != nullptr && record->state == ServerState::kReady;
--- a/src/shell/fleet/replica_host.cc
+++ b/src/shell/fleet/replica_host.cc
@@ -17,8 +17,8 @@
 constexpr milliseconds kReopenPause{500};
 // A control process on a crowded host answers within this many heartbeats;
 // elections take one to two times the minimum.
-constexpr milliseconds kHeartbeat{150};
-constexpr milliseconds kElectionMinimum{900};
+constexpr milliseconds kHeartbeat{120};
+constexpr milliseconds kElectionMinimum{600};
 constexpr milliseconds kProbeInterval{200};
 // An empty successor may take the place of a voter that was silent for so long.
 constexpr milliseconds kDeadAfter{2500};
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -6,10 +6,17 @@
 #include "shell/clock/monotonic_now.h"
 
 namespace coltsfootfork {
+namespace {
+
+// How often waiting calls look for room: short against the time to a first
+// event, and nothing while nobody waits.
+constexpr std::chrono::milliseconds kServeWaiting{30};
+
+}  // namespace
 
 Gateway::Gateway(boost::asio::io_context& io, const CallProtocol& protocol,
                  GatewayOptions options, std::uint64_t seed)
-    : context_(io, protocol, std::move(options), seed) {}
+    : context_(io, protocol, std::move(options), seed), wait_timer_(io) {}
 
 void Gateway::SetPlan(std::shared_ptr<const RoutingPlan> plan) {
   context_.plan = PlanIndex(std::move(plan));
@@ -42,9 +49,50 @@
       [this, number] { calls_.erase(number); });
   calls_[number] = call;
   call->Start(now);
+  StartWaitTimer();
+}
+
+void Gateway::SetOthers(FleetLoad others, Time now) {
+  context_.board.SetOthers(std::move(others));
+  ServeWaiting(now);
+}
+
+void Gateway::ServeWaiting(Time now) {
+  const auto call_of = [this](WaitingRoom::Ticket ticket) {
+    const auto found = context_.waiting_calls.find(ticket);
+    if (found == context_.waiting_calls.end()) {
+      return std::shared_ptr<GatewayCall>();
+    }
+    return found->second.lock();
+  };
+  context_.waiting_room.Offer([&](WaitingRoom::Ticket ticket) {
+    const auto call = call_of(ticket);
+    if (call && !call->TryFromWaiting(now)) return false;
+    context_.waiting_calls.erase(ticket);
+    return true;
+  });
+  while (const auto ticket = context_.waiting_room.TakeExpired(now)) {
+    const auto call = call_of(*ticket);
+    context_.waiting_calls.erase(*ticket);
+    if (call) call->OnWaitedInVain();
+  }
+}
+
+void Gateway::StartWaitTimer() {
+  if (wait_timer_set_ || context_.waiting_room.size() == 0) return;
+  wait_timer_set_ = true;
+  wait_timer_.expires_after(kServeWaiting);
+  wait_timer_.async_wait([this](boost::system::error_code error) {
+    wait_timer_set_ = false;
+    if (error) return;
+    ServeWaiting(MonotonicNow());
+    StartWaitTimer();
+  });
 }
 
 std::string Gateway::MetricsText() {
+  context_.metrics.Set("gateway_waiting_calls", context_.waiting_room.size());
+
   context_.metrics.Set("gateway_plan_version", plan_version());
   context_.metrics.Set("gateway_open_calls", calls_.size());
   context_.metrics.Set("gateway_server_connections",
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -31,9 +31,7 @@
 
   void FollowServers(const ServerDirectory& directory, Time now);
   // What the other entries' calls take of the servers.
-  void SetOthers(FleetLoad others) {
-    context_.board.SetOthers(std::move(others));
-  }
+  void SetOthers(FleetLoad others, Time now);
   void SetEntries(std::uint32_t entries) { context_.entries = entries; }
   FleetLoad OwnLoad() const { return context_.board.OwnLoad(); }
 
@@ -44,9 +42,16 @@
   std::string MetricsText();
 
  private:
+  // Lets waiting calls in where there is room, and ends those that have waited
+  // long enough.
+  void ServeWaiting(Time now);
+  void StartWaitTimer();
+
   GatewayContext context_;
   std::map<std::uint64_t, std::shared_ptr<GatewayCall>> calls_;
   std::uint64_t next_call_ = 1;
+  boost::asio::steady_timer wait_timer_;
+  bool wait_timer_set_ = false;
   // Servers whose leaving the calls know of.
   std::set<ServerId> leaving_;
 };
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -83,7 +83,7 @@
 
 std::optional<GatewayCall::Refusal> GatewayCall::FindRoute() {
   if (plan_.plan().version == 0) {
-    return Refusal{CallOutcome::kNoPlan, 503, kRetryAfterRefusal};
+    return Refusal{CallOutcome::kNoPlan, 503, kRetryAfterNoPlan};
   }
   route_ = plan_.FindRoute(request_.Field("Host"), request_.target);
   if (route_ == nullptr) {
@@ -130,6 +130,7 @@
   query.engine = service_->engine ? &*service_->engine : nullptr;
   query.tokens = tokens;
   query.excluded = tried_;
+  query.fill = FillOfRank(rank_);
   return query;
 }
 
@@ -139,13 +140,41 @@
     if (sends_ > 0 || ran_) return AfterSend(SendEnd::kNeverSent, now);
     return Refuse({CallOutcome::kNoServer, 503, kRetryAfterRefusal});
   }
-  if (!choice->fits && rank_ > 0 && service_->engine && sends_ == 0) {
-    return Refuse({CallOutcome::kNoRoom, 503, kRetryAfterRefusal});
-  }
-  leg_ = std::make_shared<ServerLeg>(context_, PlanLeg(*choice, now));
+  const bool has_turn = context_.waiting_room.WaitingFor(service_->name) == 0;
+  const bool may_wait = service_->engine && sends_ == 0;
+  if (may_wait && (!choice->fits || !has_turn)) return AwaitRoom(now);
+  SendTo(*choice, now);
+}
+
+void GatewayCall::SendTo(const ServerChoice& choice, Time now) {
+  leg_ = std::make_shared<ServerLeg>(context_, PlanLeg(choice, now));
   leg_->Start(head_.id, now, EventsOf(leg_, std::nullopt));
 }
 
+void GatewayCall::AwaitRoom(Time now) {
+  const Time until =
+      std::min(now + LongestWait(rank_, route_->latency_goal), deadline_);
+  ticket_ = context_.waiting_room.Enter(service_->name, rank_, until);
+  context_.waiting_calls[*ticket_] = weak_from_this();
+}
+
+bool GatewayCall::TryFromWaiting(Time now) {
+  const auto choice = context_.board.Pick(QueryFor(tokens_), now);
+  if (!choice || !choice->fits) return false;
+  ticket_.reset();
+  SendTo(*choice, now);
+  return true;
+}
+
+void GatewayCall::OnWaitedInVain() {
+  ticket_.reset();
+  const Time now = MonotonicNow();
+  const auto choice = context_.board.Pick(QueryFor(tokens_), now);
+  // The most urgent go first: the engine preempts others for them.
+  if (choice && rank_ == 0) return SendTo(*choice, now);
+  Refuse({CallOutcome::kNoRoom, 503, RetryAfterNoRoom(patience_end_ - now)});
+}
+
 LegPlan GatewayCall::PlanLeg(const ServerChoice& choice, Time now) {
   LegPlan leg;
   leg.server = choice.id;
@@ -395,6 +424,10 @@
        {"event", std::to_string(last_event_.value_or(0))},
        {"tokens", std::to_string(tokens_)},
        {"plan", std::to_string(plan_.plan().version)}});
+  if (ticket_) {
+    context_.waiting_room.Leave(*ticket_);
+    context_.waiting_calls.erase(*ticket_);
+  }
   if (leg_) leg_->Cancel();
   if (next_leg_) next_leg_->Cancel();
   if (move_) move_->Abandon();
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "coltsfootfork/core/gateway/admission.h"
 #include "coltsfootfork/core/gateway/call_policy.h"
 #include "coltsfootfork/core/gateway/gateway_metrics.h"
 #include "coltsfootfork/core/gateway/plan_index.h"
@@ -30,6 +31,10 @@
               std::function<void()> on_over);
 
   void Start(Time now);
+  // A waiting call finds out whether there is room now.
+  bool TryFromWaiting(Time now);
+  // The waiting call's time is over.
+  void OnWaitedInVain();
   // The server will not serve much longer.
   void OnServerLeaving(const ServerId& server, Time now);
 
@@ -47,6 +52,9 @@
 
   // Sending.
   void SendToBest(Time now);
+  void SendTo(const ServerChoice& choice, Time now);
+  // Waits for room, or is refused at once where waiting is of no use.
+  void AwaitRoom(Time now);
   LegPlan PlanLeg(const ServerChoice& choice, Time now);
   void ChooseBackup(LegPlan& leg, Time now);
   std::string WriteRequest(const LegPlan& leg,
@@ -115,6 +123,7 @@
   std::shared_ptr<ServerLeg> next_leg_;
   std::shared_ptr<StreamMove> move_;
   std::set<ServerId> tried_;
+  std::optional<WaitingRoom::Ticket> ticket_;
   std::uint32_t sends_ = 0;
   // An earlier leg may have run.
   bool ran_ = false;
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -85,8 +85,12 @@
                         move_tries_ < kMoveTries;
   if (!may_move) return;
   ServerQuery query = QueryFor(tokens_);
-  query.excluded.insert(leg_->plan().server);
-  const auto choice = context_.board.Pick(query, now);
+  query.fill = 1.0;
+  const ServerId& source = leg_->plan().server;
+  query.excluded.insert(source);
+  const ServerRecord* record = context_.board.Find(source);
+  const ZoneId zone = record == nullptr ? ZoneId() : record->zone;
+  const auto choice = context_.board.PickRefuge(query, zone, head_.id, now);
   if (!choice) return;
   ++move_tries_;
   move_ = std::make_shared<StreamMove>(context_, head_.id, leg_->plan().address,
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -2,17 +2,23 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <random>
+#include <utility>
 
 #include "coltsfootfork/core/gateway/gateway_metrics.h"
 #include "coltsfootfork/core/gateway/plan_index.h"
 #include "coltsfootfork/core/gateway/repeat_budget.h"
 #include "coltsfootfork/core/gateway/server_board.h"
+#include "coltsfootfork/core/gateway/waiting_room.h"
 #include "shell/gateway/call_protocol.h"
 #include "shell/gateway/connection_pool.h"
 
 namespace coltsfootfork {
 
+class GatewayCall;
+
 struct GatewayOptions {
   ServerBoardOptions board;
   RepeatBudgetOptions budget;
@@ -40,8 +46,11 @@
   ServerBoard board;
   RepeatBudget budget;
   ConnectionPool pool;
+  WaitingRoom waiting_room;
   GatewayMetrics metrics;
   std::mt19937_64 random;
+  // Who waits in the room.
+  std::map<WaitingRoom::Ticket, std::weak_ptr<GatewayCall>> waiting_calls;
   // Entries that share the servers, this one included.
   std::uint32_t entries = 1;
 };
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -60,7 +60,7 @@
     gateway_.FollowServers(directory, MonotonicNow());
   };
   events.on_load = [this](FleetLoad others, std::uint32_t entries) {
-    gateway_.SetOthers(std::move(others));
+    gateway_.SetOthers(std::move(others), MonotonicNow());
     gateway_.SetEntries(entries);
   };
   events.own_load = [this] { return gateway_.OwnLoad(); };
