gateway: Move the streams of a leaving engine in turn, to engines drawn by their room

Cause: all streams of an engine with notice were copied at once; copies share one link, so the second, short copy of each waited for the first of all (pauses of 0.3 to 1.5 s), and all chose the one engine that still fitted (no_room for 7 of 8). Ruled out: the notice's way to the entries (2 to 4 ms in the log). Change: each entry reads the engine's list of runs once and moves its own in the order that all work out; targets by weighted rendezvous hashing over the room left.

--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -80,10 +80,10 @@
   // preferred to any that it does not.
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
 
-  // A server for a running call that must go on elsewhere: one that it fits, of
-  // the zone where it runs if there is any, chosen by the call's name. Calls that
-  // leave an engine together, at entries that do not know of each other, spread
-  // over all servers, and so over their links.
+  // A server for a running call that must go on elsewhere, drawn by the call's
+  // name in proportion to the room there, mostly in the zone where it runs. Calls
+  // that leave an engine together, at entries that do not know of each other,
+  // spread over all servers, and so over their links.
   std::optional<ServerChoice> PickRefuge(const ServerQuery& query,
                                          const ZoneId& zone,
                                          const RequestId& call, Time now) const;
@@ -108,6 +108,8 @@
   std::vector<const Server*> Reachable(const ServerQuery& query,
                                        Time now) const;
   double LoadOf(const Server& server, const ServerQuery& query, Time now) const;
+  double RefugeWeight(const Server& server, const ServerQuery& query,
+                      const ZoneId& zone) const;
   bool Fits(const Server& server, const ServerQuery& query) const;
 
   ServerBoardOptions options_;
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace coltsfootfork {
@@ -15,6 +16,11 @@
 // Servers that are drawn to choose from. Two already spread well (the power of
 // two choices); three find room more often when much is full.
 constexpr std::size_t kDrawn = 3;
+// A full engine may still have room for a stream that must move: predicted
+// peaks are not reached together.
+constexpr double kLeastRefugeWeight = 0.05;
+// A copy to another zone takes twice as long.
+constexpr double kOtherZoneWeight = 0.15;
 // Slots that a plain server's queue holds beyond those at work, as a multiple.
 constexpr double kQueueOfSlots = 2.0;
 
@@ -131,14 +137,15 @@
                                                     const RequestId& call,
                                                     Time now) const {
   const Server* best = nullptr;
-  std::uint64_t best_rank = 0;
+  double best_rank = 0;
   for (const Server* server : Reachable(query, now)) {
-    if (!Fits(*server, query)) continue;
     const std::string pair = call.value() + '\n' + server->record.id.value();
-    // The zone goes first, the lot decides within it.
-    constexpr std::uint64_t kOwnZone = std::uint64_t{1} << 63U;
-    std::uint64_t rank = XXH64(pair.data(), pair.size(), 0) >> 1U;
-    if (server->record.zone == zone) rank |= kOwnZone;
+    // Weighted rendezvous hashing: each server is chosen in proportion to its
+    // weight, whatever the other servers are.
+    const double lot =
+        (static_cast<double>(XXH64(pair.data(), pair.size(), 0) >> 11U) + 0.5) /
+        static_cast<double>(std::uint64_t{1} << 53U);
+    const double rank = -RefugeWeight(*server, query, zone) / std::log(lot);
     if (best != nullptr && rank <= best_rank) continue;
     best = server;
     best_rank = rank;
@@ -147,6 +154,19 @@
   return ServerChoice{best->record.id, best->record.address, true};
 }
 
+double ServerBoard::RefugeWeight(const Server& server, const ServerQuery& query,
+                                 const ZoneId& zone) const {
+  double weight = kLeastRefugeWeight;
+  if (query.engine != nullptr && query.engine->memory_tokens > 0) {
+    const double used =
+        static_cast<double>(server.own.tokens + server.others.tokens) /
+        static_cast<double>(query.engine->memory_tokens);
+    weight = std::max(weight, 1 - used);
+  }
+  if (server.record.zone != zone) weight *= kOtherZoneWeight;
+  return weight;
+}
+
 bool ServerBoard::IsServing(const ServerId& id) const {
   const ServerRecord* record = Find(id);
   return record != nullptr && record->state == ServerState::kReady;
--- a/src/shell/gateway/call_protocol.h
+++ b/src/shell/gateway/call_protocol.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "coltsfootfork/core/gateway/move_schedule.h"
 #include "coltsfootfork/core/types/ids.h"
 #include "shell/net/http_server.h"
 
@@ -99,6 +100,11 @@
   virtual AnswerHead ReadAnswer(const HttpResponse& answer) const = 0;
   virtual HttpRequest WriteMove(const MoveOrder& order) const = 0;
   virtual MoveAnswer ReadMove(const HttpResponse& answer) const = 0;
+  // Asks an engine what it runs.
+  virtual HttpRequest WriteRunsQuery() const = 0;
+  // Nothing where the answer cannot be read.
+  virtual std::optional<std::vector<RunningCall>> ReadRuns(
+      const HttpResponse& answer) const = 0;
   // Frees a copy that is not needed any more, asked of its source.
   virtual HttpRequest WriteRelease(const std::string& handle) const = 0;
 };
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -3,7 +3,10 @@
 #include <utility>
 #include <vector>
 
+#include "coltsfootfork/core/gateway/move_schedule.h"
 #include "shell/clock/monotonic_now.h"
+#include "shell/net/http_client.h"
+#include "shell/net/ip_address.h"
 
 namespace coltsfootfork {
 namespace {
@@ -11,6 +14,8 @@
 // How often waiting calls look for room: short against the time to a first
 // event, and nothing while nobody waits.
 constexpr std::chrono::milliseconds kServeWaiting{30};
+// Without an engine's list in time its streams are moved at once.
+constexpr std::chrono::milliseconds kRunsTimeout{200};
 
 }  // namespace
 
@@ -34,12 +39,37 @@
   leaving_ = std::move(leaving);
   for (const ServerId& id : left) {
     context_.pool.Drop(id);
-    // A call may end, and leave the table, while it is told.
-    const auto calls = calls_;
-    for (const auto& [number, call] : calls) call->OnServerLeaving(id, now);
+    OnServerLeaving(id, now);
   }
 }
 
+void Gateway::OnServerLeaving(const ServerId& server, Time now) {
+  std::vector<std::weak_ptr<GatewayCall>> moving;
+  // A call may end, and leave the table, while it is told.
+  const auto calls = calls_;
+  for (const auto& [number, call] : calls) {
+    if (call->OnServerLeaving(server, now)) moving.push_back(call);
+  }
+  const ServerRecord* record = context_.board.Find(server);
+  if (moving.empty() || record == nullptr) return;
+  const PlanService* service = context_.plan.FindService(record->service);
+  const auto endpoint = ParseEndpoint(record->address);
+  if (service == nullptr || !service->engine || !endpoint) return;
+  HttpFetch(
+      context_.io, *endpoint, context_.protocol.WriteRunsQuery(), kRunsTimeout,
+      [this, moving, engine = *service->engine](const HttpFetchResult& result) {
+        MoveSchedule schedule;
+        if (result.response) {
+          auto runs = context_.protocol.ReadRuns(*result.response);
+          if (runs) schedule = MoveSchedule(std::move(*runs), engine);
+        }
+        for (const auto& weak : moving) {
+          const auto call = weak.lock();
+          if (call) call->MoveAfter(schedule.TurnOf(call->id()));
+        }
+      });
+}
+
 void Gateway::OnRequest(HttpRequest request,
                         std::shared_ptr<HttpExchange> exchange) {
   const Time now = MonotonicNow();
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -42,6 +42,8 @@
   std::string MetricsText();
 
  private:
+  // The server leaves: its streams go on elsewhere, each in its turn.
+  void OnServerLeaving(const ServerId& server, Time now);
   // Lets waiting calls in where there is room, and ends those that have waited
   // long enough.
   void ServeWaiting(Time now);
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -66,6 +66,7 @@
       exchange_(std::move(exchange)),
       on_over_(std::move(on_over)),
       timer_(context.io),
+      move_timer_(context.io),
       arrived_(now),
       plan_(context.plan) {}
 
@@ -273,10 +274,11 @@
   if (events.empty()) return;
   exchange_->WriteChunk(events);
   const Time now = MonotonicNow();
+  const bool first = first_event_at_ == Time();
   leg_->OnRead();
   NoteEvents(now);
   // The engine announced its leaving before the stream had begun.
-  if (leaving_) Carry(now);
+  if (leaving_ && first) Carry(now);
 }
 
 void GatewayCall::NoteEvents(Time now) {
@@ -404,6 +406,7 @@
   if (over_) return;
   over_ = true;
   timer_.cancel();
+  move_timer_.cancel();
   const auto self = shared_from_this();
   const Duration taken = MonotonicNow() - arrived_;
   context_.metrics.Count(outcome, taken);
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -35,8 +35,12 @@
   bool TryFromWaiting(Time now);
   // The waiting call's time is over.
   void OnWaitedInVain();
-  // The server will not serve much longer.
-  void OnServerLeaving(const ServerId& server, Time now);
+  // The server will not serve much longer. True where the call waits for its
+  // turn to move.
+  bool OnServerLeaving(const ServerId& server, Time now);
+  // Moves the call when its turn has come, if it still runs where it ran.
+  void MoveAfter(Duration turn);
+  const RequestId& id() const { return head_.id; }
 
  private:
   struct Refusal {
@@ -105,6 +109,7 @@
   std::shared_ptr<HttpExchange> exchange_;
   std::function<void()> on_over_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer move_timer_;
   Time arrived_;
   Time deadline_;
   Time patience_end_;
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -53,12 +53,24 @@
          leg_ != nullptr;
 }
 
-void GatewayCall::OnServerLeaving(const ServerId& server, Time now) {
-  if (over_ || !leg_ || leg_->plan().server != server) return;
-  if (!MayCarry() || route_->MayRepeat()) return;
+bool GatewayCall::OnServerLeaving(const ServerId& server, Time now) {
+  if (over_ || !leg_ || leg_->plan().server != server) return false;
+  if (!MayCarry() || route_->MayRepeat()) return false;
   leaving_ = true;
   // Before the first event there is nothing to go on from.
-  if (answer_begun_ && last_event_) Carry(now);
+  if (!answer_begun_ || !last_event_) return false;
+  if (CarryFromBackup(now)) return false;
+  return true;
+}
+
+void GatewayCall::MoveAfter(Duration turn) {
+  if (over_ || !leaving_) return;
+  move_timer_.expires_after(turn);
+  move_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->leaving_) self->Carry(MonotonicNow());
+      });
 }
 
 void GatewayCall::Carry(Time now) {
@@ -167,6 +179,7 @@
   if (!IsStream(head)) return;
   context_.metrics.Count(count);
   ++carried_;
+  leaving_ = false;
   // The engine before stops when its connection closes.
   leg_->Cancel();
   leg_ = std::exchange(next_leg_, nullptr);
