gateway: Let workspace ranks decide before route ranks, and count unread prompts

Ruled out: waiting at the entries (p90 0.7 s against 1.9 s at the engine). Change: ranks are ordered by workspace and, among equals, by route; unread prompts count four times in the load. Waits, pauses and ranks are in the line of each call.

--- a/include/coltsfootfork/core/gateway/plan_index.h
+++ b/include/coltsfootfork/core/gateway/plan_index.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "coltsfootfork/core/gateway/routing_plan.h"
 
@@ -27,6 +29,11 @@
   // The workspace that holds the key, or null.
   const PlanWorkspace* FindWorkspace(const std::string& key) const;
   const PlanService* FindService(const ServiceId& service) const;
+  // How urgent a call is: its workspace's rank decides, and among equals the
+  // route's. 0 is the most urgent pair that the plan knows; the next follows
+  // without a gap. Null for a call without a workspace.
+  std::uint32_t RankOf(const PlanRoute& route,
+                       const PlanWorkspace* workspace) const;
 
  private:
   std::shared_ptr<const RoutingPlan> plan_;
@@ -36,6 +43,9 @@
       routes_;
   std::unordered_map<std::string, const PlanWorkspace*> workspaces_;
   std::unordered_map<ServiceId, const PlanService*> services_;
+  // The ranks in use, in order.
+  std::vector<std::uint32_t> workspace_ranks_;
+  std::vector<std::uint32_t> route_ranks_;
 };
 
 }  // namespace coltsfootfork
--- a/include/coltsfootfork/core/gateway/routing_plan.h
+++ b/include/coltsfootfork/core/gateway/routing_plan.h
@@ -92,7 +92,7 @@
 struct PlanWorkspace {
   WorkspaceId name;
   std::vector<std::string> keys;
-  // Goes before the route's rank.
+  // Decides before the route's rank.
   std::optional<std::uint32_t> rank;
 };
 
--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -55,9 +55,9 @@
 
 // What one entry knows of the servers: the directory, its own calls under way,
 // those of the other entries as last told, and how calls ended lately. Loads
-// that others tell are some hundred milliseconds old, so a call is placed on the
-// best of a few servers drawn by lot: entries with the same view must not all
-// choose the one that looks emptiest.
+// that others tell are some hundred milliseconds old, so a call is placed on
+// the best of a few servers drawn by lot: entries with the same view must not
+// all choose the one that looks emptiest.
 class ServerBoard {
  public:
   ServerBoard(const ServerBoardOptions& options, std::uint64_t seed);
@@ -81,9 +81,9 @@
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
 
   // A server for a running call that must go on elsewhere, drawn by the call's
-  // name in proportion to the room there, mostly in the zone where it runs. Calls
-  // that leave an engine together, at entries that do not know of each other,
-  // spread over all servers, and so over their links.
+  // name in proportion to the room there, mostly in the zone where it runs.
+  // Calls that leave an engine together, at entries that do not know of each
+  // other, spread over all servers, and so over their links.
   std::optional<ServerChoice> PickRefuge(const ServerQuery& query,
                                          const ZoneId& zone,
                                          const RequestId& call, Time now) const;
--- a/src/core/gateway/plan_index.cc
+++ b/src/core/gateway/plan_index.cc
@@ -20,6 +20,17 @@
   return target.substr(0, target.find('?'));
 }
 
+void KeepDistinct(std::vector<std::uint32_t>& ranks) {
+  std::sort(ranks.begin(), ranks.end());
+  ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
+}
+
+std::uint32_t PlaceOf(const std::vector<std::uint32_t>& ranks,
+                      std::uint32_t rank) {
+  return static_cast<std::uint32_t>(
+      std::lower_bound(ranks.begin(), ranks.end(), rank) - ranks.begin());
+}
+
 }  // namespace
 
 PlanIndex::PlanIndex() : PlanIndex(std::make_shared<const RoutingPlan>()) {}
@@ -37,6 +48,14 @@
   for (const PlanService& service : plan_->services) {
     services_[service.name] = &service;
   }
+  for (const PlanRoute& route : plan_->routes) {
+    route_ranks_.push_back(route.rank);
+  }
+  for (const PlanWorkspace& workspace : plan_->workspaces) {
+    if (workspace.rank) workspace_ranks_.push_back(*workspace.rank);
+  }
+  KeepDistinct(route_ranks_);
+  KeepDistinct(workspace_ranks_);
 }
 
 const PlanRoute* PlanIndex::FindRoute(std::string_view host,
@@ -64,4 +83,13 @@
   return found == services_.end() ? nullptr : found->second;
 }
 
+std::uint32_t PlanIndex::RankOf(const PlanRoute& route,
+                                const PlanWorkspace* workspace) const {
+  const std::uint32_t route_place = PlaceOf(route_ranks_, route.rank);
+  if (workspace == nullptr || !workspace->rank) return route_place;
+  return PlaceOf(workspace_ranks_, *workspace->rank) *
+             static_cast<std::uint32_t>(route_ranks_.size()) +
+         route_place;
+}
+
 }  // namespace coltsfootfork
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -13,6 +13,9 @@
 constexpr double kNewestWeight = 0.1;
 // How much a server that fails all its calls counts as further loaded.
 constexpr double kFailureLoad = 3.0;
+// Prompts that are still to be read count more than memory: a call waits for
+// them, and only fears full memory.
+constexpr double kUnreadWeight = 4;
 // Servers that are drawn to choose from. Two already spread well (the power of
 // two choices); three find room more often when much is full.
 constexpr std::size_t kDrawn = 3;
@@ -193,8 +196,10 @@
   if (query.engine != nullptr && query.engine->memory_tokens > 0) {
     const auto tokens = static_cast<double>(
         server.own.tokens + server.others.tokens + query.tokens);
-    load = std::max(load,
-                    tokens / static_cast<double>(query.engine->memory_tokens));
+    const auto unread =
+        static_cast<double>(server.own.unread + server.others.unread);
+    load = std::max(load, (tokens + kUnreadWeight * unread) /
+                              static_cast<double>(query.engine->memory_tokens));
   }
   load += kFailureLoad * server.failures;
   if (server.record.zone != options_.zone) load += options_.other_zone_load;
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -90,13 +90,13 @@
   if (route_ == nullptr) {
     return Refusal{CallOutcome::kNoRoute, 404, std::nullopt};
   }
-  rank_ = route_->rank;
+  rank_ = plan_.RankOf(*route_, nullptr);
   if (route_->is_public || !plan_.plan().needs_keys) return std::nullopt;
   workspace_ = plan_.FindWorkspace(head_.key);
   if (workspace_ == nullptr) {
     return Refusal{CallOutcome::kUnknownKey, 401, std::nullopt};
   }
-  rank_ = workspace_->rank.value_or(rank_);
+  rank_ = plan_.RankOf(*route_, workspace_);
   return std::nullopt;
 }
 
@@ -148,6 +148,7 @@
 }
 
 void GatewayCall::SendTo(const ServerChoice& choice, Time now) {
+  if (sent_at_ == Time()) sent_at_ = now;
   leg_ = std::make_shared<ServerLeg>(context_, PlanLeg(choice, now));
   leg_->Start(head_.id, now, EventsOf(leg_, std::nullopt));
 }
@@ -419,6 +420,10 @@
        {"sends", std::to_string(sends_)},
        {"carried", std::to_string(carried_)},
        {"ms", std::to_string(ToMilliseconds(taken))},
+       {"rank", std::to_string(rank_)},
+       {"waited_ms", sent_at_ == Time()
+                         ? std::string()
+                         : std::to_string(ToMilliseconds(sent_at_ - arrived_))},
        {"first_ms",
         first_event_at_ == Time()
             ? std::string()
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -147,6 +147,8 @@
   bool leg_ended_ = false;
   bool over_ = false;
 
+  // When the call was first sent, or started to be.
+  Time sent_at_;
   // What the caller saw of the stream, for the log.
   Time first_event_at_;
   Time last_event_at_;
