--- /dev/null
+++ b/tests/core/fleet/fleet_message_test.cc
@@ -0,0 +1,66 @@
+#include "coltsfootfork/core/fleet/fleet_message.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+ServerRecord Record() {
+  ServerRecord record;
+  record.id = ServerId("i-1");
+  record.born = 1767345643460;
+  record.sequence = 9;
+  record.service = ServiceId("model");
+  record.address = "10.0.0.1:80";
+  record.zone = ZoneId("z");
+  record.slots = 24;
+  record.state = ServerState::kDraining;
+  record.cold_left = std::chrono::milliseconds(700);
+  return record;
+}
+
+BOOST_AUTO_TEST_CASE(RecordsComeBackAsTheyWere) {
+  const auto decoded =
+      DecodeFleetMessage(EncodeFleetMessage(DirectoryNews{5, {Record()}}));
+  BOOST_REQUIRE(decoded.has_value());
+  const auto& news = std::get<DirectoryNews>(*decoded);
+  BOOST_TEST(news.token == 5U);
+  BOOST_REQUIRE(news.records.size() == 1U);
+  BOOST_TEST(news.records[0].id == ServerId("i-1"));
+  BOOST_TEST(news.records[0].born == 1767345643460U);
+  BOOST_CHECK(news.records[0].state == ServerState::kDraining);
+  BOOST_CHECK(news.records[0].cold_left == std::chrono::milliseconds(700));
+}
+
+BOOST_AUTO_TEST_CASE(PlansMayHoldAnyBytes) {
+  const std::string text("\x00\xff{}", 4);
+  const auto decoded =
+      DecodeFleetMessage(EncodeFleetMessage(PlanDocument{7, text}));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(std::get<PlanDocument>(*decoded).version == 7U);
+  BOOST_TEST(std::get<PlanDocument>(*decoded).text == text);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsComeBackAsTheyWere) {
+  EntryReport report;
+  report.is_primary = true;
+  report.load = {{ServerId("i-1"), {3, 9000, 2000}}};
+  const auto decoded = DecodeFleetMessage(EncodeFleetMessage(report));
+  BOOST_REQUIRE(decoded.has_value());
+  const auto& read = std::get<EntryReport>(*decoded);
+  BOOST_TEST(read.is_primary);
+  BOOST_REQUIRE(read.load.size() == 1U);
+  BOOST_TEST(read.load[0].load.unread == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(DamagedBytesAreNoMessage) {
+  const std::string whole = EncodeFleetMessage(DirectoryNews{5, {Record()}});
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    BOOST_TEST(!DecodeFleetMessage(whole.substr(0, length)).has_value());
+  }
+  BOOST_TEST(!DecodeFleetMessage("").has_value());
+  BOOST_TEST(!DecodeFleetMessage("no CBOR at all").has_value());
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/core/gateway/admission_test.cc
@@ -0,0 +1,34 @@
+#include "coltsfootfork/core/gateway/admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_CASE(UrgentCallsMayFillWhatOthersLeave) {
+  BOOST_TEST(FillOfRank(0) > FillOfRank(1));
+  BOOST_TEST(FillOfRank(1) == FillOfRank(5));
+}
+
+BOOST_AUTO_TEST_CASE(NobodyWaitsPastTheLatencyGoal) {
+  for (const std::uint32_t rank : {0U, 1U, 3U}) {
+    BOOST_CHECK(LongestWait(rank, milliseconds(4000)) < milliseconds(4000));
+  }
+}
+
+// Callers honour a Retry-After up to a third of the time they have left.
+BOOST_AUTO_TEST_CASE(RetryAfterStaysWithinWhatCallersHonour) {
+  for (const int patience : {900, 3000, 6000, 39000}) {
+    const milliseconds retry = RetryAfterNoRoom(milliseconds(patience));
+    BOOST_TEST(3 * retry.count() <= patience);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACallerWithoutTimeIsStillToldATime) {
+  BOOST_CHECK(RetryAfterNoRoom(milliseconds(-50)) > milliseconds(0));
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/core/gateway/call_policy_test.cc
@@ -0,0 +1,96 @@
+#include "coltsfootfork/core/gateway/call_policy.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+constexpr Time kNow{std::chrono::seconds(100)};
+
+CallFacts Facts() {
+  CallFacts facts;
+  facts.max_attempts = 2;
+  facts.sends = 1;
+  facts.deadline = kNow + std::chrono::seconds(1);
+  facts.budget_allows = true;
+  return facts;
+}
+
+template <typename Step>
+bool Is(const AfterSend& after) {
+  return std::holds_alternative<Step>(after);
+}
+
+std::uint32_t StatusOf(const AfterSend& after) {
+  return std::get<AnswerCaller>(after).status;
+}
+
+BOOST_AUTO_TEST_CASE(WhatReachedNoServerIsSentAgainWithoutAttemptOrBudget) {
+  CallFacts facts = Facts();
+  facts.sends = 0;
+  facts.max_attempts = 1;
+  facts.budget_allows = false;
+  BOOST_TEST(Is<SendAgain>(DecideAfterSend(facts, SendEnd::kNeverSent, kNow)));
+}
+
+BOOST_AUTO_TEST_CASE(WhatMayHaveRunIsNotSentAgainUnlessItMayRepeat) {
+  CallFacts facts = Facts();
+  facts.may_have_run = true;
+  const AfterSend after = DecideAfterSend(facts, SendEnd::kBroken, kNow);
+  BOOST_REQUIRE(Is<AnswerCaller>(after));
+  // 502 promises nothing; 503 would promise that it has not run.
+  BOOST_TEST(StatusOf(after) == 502U);
+  BOOST_TEST(!std::get<AnswerCaller>(after).retry_after.has_value());
+  facts.may_repeat = true;
+  BOOST_TEST(Is<SendAgain>(DecideAfterSend(facts, SendEnd::kBroken, kNow)));
+}
+
+BOOST_AUTO_TEST_CASE(ACallThatRanOnceIsNeverSaidNotToHaveRun) {
+  for (const SendEnd end :
+       {SendEnd::kNeverSent, SendEnd::kNotRun, SendEnd::kBroken}) {
+    CallFacts facts = Facts();
+    facts.may_have_run = true;
+    facts.others_left = false;
+    const AfterSend after = DecideAfterSend(facts, end, kNow);
+    BOOST_REQUIRE(Is<AnswerCaller>(after));
+    BOOST_TEST(StatusOf(after) == 502U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ATurnedDownCallIsRefusedWithATimeToComeBack) {
+  CallFacts facts = Facts();
+  facts.max_attempts = 1;
+  const AfterSend after = DecideAfterSend(facts, SendEnd::kNotRun, kNow);
+  BOOST_REQUIRE(Is<AnswerCaller>(after));
+  BOOST_TEST(StatusOf(after) == 503U);
+  BOOST_TEST(std::get<AnswerCaller>(after).retry_after.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AttemptsAndBudgetBoundRepeats) {
+  CallFacts facts = Facts();
+  facts.may_repeat = true;
+  facts.budget_allows = false;
+  BOOST_TEST(
+      !Is<SendAgain>(DecideAfterSend(facts, SendEnd::kServerError, kNow)));
+  facts.budget_allows = true;
+  facts.sends = facts.max_attempts;
+  BOOST_TEST(Is<DeliverFailure>(
+      DecideAfterSend(facts, SendEnd::kServerError, kNow)));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatHasBegunIsBrokenOffRatherThanEndedFalsely) {
+  CallFacts facts = Facts();
+  facts.may_have_run = true;
+  facts.answer_begun = true;
+  BOOST_TEST(Is<BreakOff>(DecideAfterSend(facts, SendEnd::kBroken, kNow)));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsSentAfterTheDeadline) {
+  CallFacts facts = Facts();
+  facts.may_repeat = true;
+  facts.deadline = kNow;
+  BOOST_TEST(!Is<SendAgain>(DecideAfterSend(facts, SendEnd::kNotRun, kNow)));
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/core/gateway/server_board_test.cc
@@ -0,0 +1,209 @@
+#include "coltsfootfork/core/gateway/server_board.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace coltsfootfork {
+namespace {
+
+constexpr Time kNow{std::chrono::seconds(100)};
+constexpr std::uint64_t kSeed = 7;
+const ServiceId kService("model");
+
+ServerRecord Record(const std::string& id, const std::string& zone = "z") {
+  ServerRecord record;
+  record.id = ServerId(id);
+  record.born = 1;
+  record.sequence = 1;
+  record.service = kService;
+  record.address = "10.0.0.1:" + std::to_string(1000 + id.back());
+  record.zone = ZoneId(zone);
+  record.slots = 24;
+  return record;
+}
+
+ServerDirectory Directory(int count) {
+  ServerDirectory directory;
+  for (int i = 0; i < count; ++i) {
+    directory.Merge(Record("s" + std::string(1, static_cast<char>('a' + i))),
+                    kNow);
+  }
+  return directory;
+}
+
+ServerBoard Board(const ServerDirectory& directory) {
+  ServerBoardOptions options;
+  options.zone = ZoneId("z");
+  ServerBoard board(options, kSeed);
+  board.Follow(directory, kNow);
+  return board;
+}
+
+EngineProfile Engine() {
+  EngineProfile engine;
+  engine.slots = 24;
+  engine.memory_tokens = 34000;
+  return engine;
+}
+
+ServerQuery Query(const EngineProfile& engine, std::uint64_t tokens) {
+  ServerQuery query;
+  query.service = kService;
+  query.engine = &engine;
+  query.tokens = tokens;
+  return query;
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatLeavesGetsNothing) {
+  ServerDirectory directory = Directory(2);
+  ServerRecord leaving = Record("sa");
+  leaving.sequence = 2;
+  leaving.state = ServerState::kDraining;
+  directory.Merge(leaving, kNow);
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  for (int i = 0; i < 20; ++i) {
+    const auto choice = board.Pick(Query(engine, 100), kNow);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->id == ServerId("sb"));
+  }
+  BOOST_TEST(!board.IsServing(ServerId("sa")));
+}
+
+// Eight entries that all see the same, half a second old, place 16 calls in
+// that time on 14 engines of which one is new and empty. Were each to choose
+// the emptiest, all prompts would be read there one after another.
+BOOST_AUTO_TEST_CASE(EntriesWithOneViewDoNotCrowdTheEmptiestEngine) {
+  const ServerDirectory directory = Directory(14);
+  const EngineProfile engine = Engine();
+  FleetLoad others;
+  for (const auto& [id, entry] : directory.entries()) {
+    if (id != ServerId("sa")) others[id] = {3, 10000, 0};
+  }
+  std::map<ServerId, int> chosen;
+  for (std::uint64_t entry = 0; entry < 8; ++entry) {
+    ServerBoardOptions options;
+    options.zone = ZoneId("z");
+    ServerBoard board(options, kSeed + entry);
+    board.Follow(directory, kNow);
+    board.SetOthers(others);
+    for (int call = 0; call < 2; ++call) {
+      const auto choice = board.Pick(Query(engine, 3500), kNow);
+      board.Begin(choice->id, {1, 3500, 3000});
+      ++chosen[choice->id];
+    }
+  }
+  BOOST_TEST(chosen[ServerId("sa")] <= 8);
+}
+
+BOOST_AUTO_TEST_CASE(ACallThatFitsNowhereIsSaidNotToFit) {
+  const ServerDirectory directory = Directory(2);
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  board.SetOthers({{ServerId("sa"), {8, 32000, 0}},
+                   {ServerId("sb"), {8, 32000, 0}}});
+  const auto choice = board.Pick(Query(engine, 3500), kNow);
+  BOOST_REQUIRE(choice.has_value());
+  BOOST_TEST(!choice->fits);
+}
+
+BOOST_AUTO_TEST_CASE(LessUrgentCallsLeaveMemoryForOthers) {
+  const ServerDirectory directory = Directory(1);
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  board.SetOthers({{ServerId("sa"), {8, 27000, 0}}});
+  ServerQuery query = Query(engine, 3500);
+  query.fill = 0.8;
+  BOOST_TEST(!board.Pick(query, kNow)->fits);
+  query.fill = 1.0;
+  BOOST_TEST(board.Pick(query, kNow)->fits);
+}
+
+BOOST_AUTO_TEST_CASE(PromptsThatAreNotReadYetWeighMoreThanMemory) {
+  const ServerDirectory directory = Directory(2);
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  board.SetOthers({{ServerId("sa"), {3, 9000, 0}},
+                   {ServerId("sb"), {2, 6000, 6000}}});
+  BOOST_TEST(board.Pick(Query(engine, 100), kNow)->id == ServerId("sa"));
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatCannotBeReachedIsPassedOverForAWhile) {
+  const ServerDirectory directory = Directory(2);
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  board.OnUnreachable(ServerId("sa"), kNow);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(board.Pick(Query(engine, 100), kNow)->id == ServerId("sb"));
+  }
+  // With nobody else it is better than nobody.
+  ServerQuery query = Query(engine, 100);
+  query.excluded = {ServerId("sb")};
+  BOOST_TEST(board.Pick(query, kNow)->id == ServerId("sa"));
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatFailsItsCallsGetsFewer) {
+  const ServerDirectory directory = Directory(2);
+  ServerBoard board = Board(directory);
+  for (int i = 0; i < 20; ++i) {
+    board.OnAnswered(ServerId("sa"), /*failed=*/true);
+    board.OnAnswered(ServerId("sb"), /*failed=*/false);
+  }
+  ServerQuery query;
+  query.service = kService;
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(board.Pick(query, kNow)->id == ServerId("sb"));
+  }
+}
+
+// Nine streams leave an engine together, each at an entry that does not know of
+// the others.
+BOOST_AUTO_TEST_CASE(StreamsThatMoveTogetherSpread) {
+  const ServerDirectory directory = Directory(10);
+  const ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  std::map<ServerId, int> chosen;
+  for (int call = 0; call < 9; ++call) {
+    const auto choice = board.PickRefuge(
+        Query(engine, 3500), ZoneId("z"),
+        RequestId("call-" + std::to_string(call)), kNow);
+    BOOST_REQUIRE(choice.has_value());
+    ++chosen[choice->id];
+  }
+  BOOST_TEST(chosen.size() >= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(StreamsPreferRefugeInTheirOwnZoneWithRoom) {
+  ServerDirectory directory;
+  directory.Merge(Record("sa", "z"), kNow);
+  directory.Merge(Record("sb", "far"), kNow);
+  directory.Merge(Record("sc", "z"), kNow);
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  board.SetOthers({{ServerId("sc"), {9, 34000, 0}}});
+  int home = 0;
+  for (int call = 0; call < 100; ++call) {
+    const auto choice = board.PickRefuge(
+        Query(engine, 3500), ZoneId("z"),
+        RequestId("call-" + std::to_string(call)), kNow);
+    if (choice->id == ServerId("sa")) ++home;
+  }
+  BOOST_TEST(home > 70);
+}
+
+BOOST_AUTO_TEST_CASE(LoadIsCountedWhileCallsLive) {
+  const ServerDirectory directory = Directory(1);
+  ServerBoard board = Board(directory);
+  const ServerId id("sa");
+  board.Begin(id, {1, 3500, 3000});
+  board.OnRead(id, 3000);
+  FleetLoad load = board.OwnLoad();
+  BOOST_TEST(load[id].calls == 1U);
+  BOOST_TEST(load[id].tokens == 3500U);
+  BOOST_TEST(load[id].unread == 0U);
+  board.End(id, {1, 3500, 0});
+  BOOST_TEST(board.OwnLoad().empty());
+}
+
+}  // namespace
+}  // namespace coltsfootfork
