fleet: Guard handlers that come after their object, and test the platform's interface

Cause: a test that stops control processes in one event loop crashed in a timer that was due when its object went (platform_control, AnAcknowledgedChangeOutlivesEveryProcess). Change: Lifetime guards what servers, control processes and followers start.

--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -57,6 +57,15 @@
   if (replica_) TickReplica();
 }
 
+ControlNode::~ControlNode() {
+  for (auto& [name, peer] : peers_) {
+    if (peer.link) peer.link->Close();
+  }
+  for (auto& [number, incoming] : incoming_) {
+    if (incoming.link) incoming.link->Close();
+  }
+}
+
 void ControlNode::AddSeeds(const std::vector<std::string>& seeds) {
   for (const std::string& seed : seeds) Know(seed);
 }
@@ -138,7 +147,7 @@
 
 void ControlNode::Accept() {
   acceptor_.async_accept(
-      [this](error_code error, asio::ip::tcp::socket socket) {
+      lifetime_.Guard([this](error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
         if (!error) {
           OnAccepted(std::move(socket));
@@ -146,10 +155,10 @@
         }
         // Out of descriptors, say: an immediate retry would spin.
         auto pause = std::make_shared<asio::steady_timer>(io_, kAcceptPause);
-        pause->async_wait([this, pause](error_code wait_error) {
+        pause->async_wait(lifetime_.Guard([this, pause](error_code wait_error) {
           if (!wait_error) Accept();
-        });
-      });
+        }));
+      }));
 }
 
 void ControlNode::OnAccepted(asio::ip::tcp::socket socket) {
@@ -384,9 +393,9 @@
   }
   ExpireWaiting(now);
   peer_timer_.expires_after(kDigestInterval);
-  peer_timer_.async_wait([this](error_code error) {
+  peer_timer_.async_wait(lifetime_.Guard([this](error_code error) {
     if (!error) TickPeers();
-  });
+  }));
 }
 
 void ControlNode::TickReplica() {
@@ -395,9 +404,9 @@
   replica_->Tick(now);
   if (replica_->is_running()) sync_.SetVoters(replica_->voters());
   replica_timer_.expires_after(kReplicaTick);
-  replica_timer_.async_wait([this](error_code error) {
+  replica_timer_.async_wait(lifetime_.Guard([this](error_code error) {
     if (!error) TickReplica();
-  });
+  }));
 }
 
 void ControlNode::ExpireWaiting(Time now) {
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -20,6 +20,7 @@
 #include "coltsfootfork/core/fleet/voter_sync.h"
 #include "shell/fleet/frame_link.h"
 #include "shell/fleet/replica_host.h"
+#include "shell/net/lifetime.h"
 
 namespace coltsfootfork {
 
@@ -52,6 +53,7 @@
   // Listens at once; throws boost::system::system_error when it cannot.
   ControlNode(boost::asio::io_context& io, ControlNodeOptions options,
               Time now);
+  ~ControlNode();
   ControlNode(const ControlNode&) = delete;
   ControlNode& operator=(const ControlNode&) = delete;
 
@@ -169,6 +171,7 @@
   Time next_refresh_;
   std::map<std::uint64_t, WaitingNews> waiting_news_;
   std::map<std::uint64_t, WaitingRelay> waiting_relays_;
+  Lifetime lifetime_;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/fleet/control_node_plan.cc
+++ b/src/shell/fleet/control_node_plan.cc
@@ -74,7 +74,6 @@
   const auto found = waiting_relays_.find(number);
   if (found == waiting_relays_.end()) return;
   WaitingRelay& waiting = found->second;
-  const auto timer = std::make_shared<boost::asio::steady_timer>(io_);
   if (now >= waiting.until) {
     const auto done = std::move(waiting.done);
     waiting_relays_.erase(found);
@@ -92,10 +91,11 @@
     again = kRelayLost;
     SendTo(leader, waiting.request);
   }
-  timer->expires_after(again);
-  timer->async_wait([this, number, timer](boost::system::error_code error) {
-    if (!error) TryRelay(number, MonotonicNow());
-  });
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, again);
+  timer->async_wait(
+      lifetime_.Guard([this, number, timer](boost::system::error_code error) {
+        if (!error) TryRelay(number, MonotonicNow());
+      }));
 }
 
 void ControlNode::LeadRelay(const RelayRequest& request,
--- a/src/shell/fleet/fleet_follower.cc
+++ b/src/shell/fleet/fleet_follower.cc
@@ -34,6 +34,12 @@
   Tick();
 }
 
+FleetFollower::~FleetFollower() {
+  for (Slot& slot : slots_) {
+    if (slot.link) slot.link->Close();
+  }
+}
+
 void FleetFollower::AddSeeds(const std::vector<std::string>& seeds) {
   for (const std::string& seed : seeds) known_.emplace(seed, Time());
 }
@@ -52,9 +58,9 @@
   }
   directory_.Expire(now);
   timer_.expires_after(kReportInterval);
-  timer_.async_wait([this](error_code error) {
+  timer_.async_wait(lifetime_.Guard([this](error_code error) {
     if (!error) Tick();
-  });
+  }));
 }
 
 std::size_t FleetFollower::Primary() const {
--- a/src/shell/fleet/fleet_follower.h
+++ b/src/shell/fleet/fleet_follower.h
@@ -16,6 +16,7 @@
 #include "coltsfootfork/core/fleet/server_load.h"
 #include "coltsfootfork/core/types/ids.h"
 #include "shell/fleet/frame_link.h"
+#include "shell/net/lifetime.h"
 
 namespace coltsfootfork {
 
@@ -41,6 +42,7 @@
  public:
   FleetFollower(boost::asio::io_context& io, FleetFollowerOptions options,
                 FleetFollowerEvents events);
+  ~FleetFollower();
   FleetFollower(const FleetFollower&) = delete;
   FleetFollower& operator=(const FleetFollower&) = delete;
 
@@ -87,6 +89,7 @@
   ServerDirectory directory_;
   std::uint64_t plan_version_ = 0;
   bool synced_ = false;
+  Lifetime lifetime_;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/net/http_server.cc
+++ b/src/shell/net/http_server.cc
@@ -50,20 +50,22 @@
 }
 
 void HttpServer::Accept() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (stopping_) return;
-    if (!error) {
-      std::make_shared<HttpSession>(this, std::move(socket))->Start();
-      return Accept();
-    }
-    // Out of descriptors, say: an immediate retry would spin.
-    accept_pause_.expires_after(kAcceptPause);
-    accept_pause_.async_wait([this](boost::system::error_code wait_error) {
-      if (!wait_error) Accept();
-    });
-  });
+  acceptor_.async_accept(
+      lifetime_.Guard([this](boost::system::error_code error,
+                             boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (stopping_) return;
+        if (!error) {
+          std::make_shared<HttpSession>(this, std::move(socket))->Start();
+          return Accept();
+        }
+        // Out of descriptors, say: an immediate retry would spin.
+        accept_pause_.expires_after(kAcceptPause);
+        accept_pause_.async_wait(
+            lifetime_.Guard([this](boost::system::error_code wait_error) {
+              if (!wait_error) Accept();
+            }));
+      }));
 }
 
 void HttpServer::Stop() {
--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -12,6 +12,8 @@
 #include <string_view>
 #include <vector>
 
+#include "shell/net/lifetime.h"
+
 namespace coltsfootfork {
 
 struct HttpField {
@@ -113,6 +115,7 @@
   bool stopping_ = false;
   bool keep_alive_ = true;
   std::set<HttpSession*> sessions_;
+  Lifetime lifetime_;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -76,15 +76,14 @@
     if (!error && self && self->idle_) self->Close();
   });
   idle_ = true;
-  stream_.socket().async_wait(
-      asio::ip::tcp::socket::wait_read,
-      [self = shared_from_this()](error_code error) {
-        self->idle_ = false;
-        self->idle_timer_.cancel();
-        if (self->state_ != State::kReading) return;
-        if (error) return self->Close();
-        self->Read();
-      });
+  stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                              [self = shared_from_this()](error_code error) {
+                                self->idle_ = false;
+                                self->idle_timer_.cancel();
+                                if (self->state_ != State::kReading) return;
+                                if (error) return self->Close();
+                                self->Read();
+                              });
 }
 
 void HttpSession::Read() {
--- /dev/null
+++ b/tests/platform/gateway_fixture.cc
@@ -0,0 +1,138 @@
+#include "platform/gateway_fixture.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+#include "plan_decoder.h"
+#include "shell/clock/monotonic_now.h"
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kSeed = 5;
+
+json Route(const std::string& prefix, const std::string& kind,
+           const std::string& service, int attempts, int timeout_ms) {
+  return {{"name", prefix},          {"host", "a.example"},
+          {"path_prefix", prefix},   {"kind", kind},
+          {"service", service},      {"max_attempts", attempts},
+          {"timeout_ms", timeout_ms}};
+}
+
+}  // namespace
+
+GatewayFixture::GatewayFixture(GatewayOptions options)
+    : gateway(io, protocol, std::move(options), kSeed),
+      callers(
+          io, ParseEndpoint("127.0.0.1:0").value(), HttpLimits(),
+          [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+            gateway.OnRequest(std::move(request), std::move(exchange));
+          }) {}
+
+void GatewayFixture::Announce(const std::string& id, const std::string& address,
+                              const std::string& service, ServerState state) {
+  ServerRecord record;
+  record.id = ServerId(id);
+  record.born = 1;
+  record.sequence = ++sequence;
+  record.service = ServiceId(service);
+  record.address = address;
+  record.slots = 24;
+  record.state = state;
+  directory.Merge(record, MonotonicNow());
+  gateway.FollowServers(directory, MonotonicNow());
+}
+
+void GatewayFixture::SetPlan(int timeout_ms) {
+  json talk = Route("/talk/", "streaming", "model", 1, timeout_ms);
+  json verdict = Route("/verdict/", "streaming", "model", 2, timeout_ms);
+  verdict["resumable"] = true;
+  json open = Route("/open/", "idempotent", "ledger", 2, timeout_ms);
+  open["public"] = true;
+  const json document = {
+      {"version", 3},
+      {"routes",
+       {talk, verdict, open,
+        Route("/sale/", "non_idempotent", "ledger", 1, timeout_ms),
+        Route("/order/", "non_idempotent", "ledger", 2, timeout_ms),
+        Route("/stock/", "idempotent", "ledger", 2, timeout_ms)}},
+      {"services",
+       {{{"name", "ledger"}, {"max_conns", 100}},
+        {{"name", "model"},
+         {"max_conns", 100},
+         {"engine",
+          {{"slots", 24},
+           {"kv_capacity_tokens", 30000},
+           {"kv_token_bytes", 1000},
+           {"link_mbps", 24000},
+           {"moves", true},
+           {"backups", true}}}}}},
+      {"tenants", {{{"name", "workspace"}, {"api_keys", {"key"}}}}}};
+  Findings findings;
+  auto plan = platform::DecodePlan(document.dump(), findings);
+  BOOST_REQUIRE_MESSAGE(plan != nullptr, findings.ToText());
+  gateway.SetPlan(std::move(plan));
+}
+
+HttpRequest GatewayFixture::Request(const std::string& path,
+                                    const std::string& id) const {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = path;
+  request.fields = {{"Host", "a.example"},
+                    {"Request-Id", id},
+                    {"Credential", "key"},
+                    {"Deadline-Ms", "10000"}};
+  return request;
+}
+
+HttpRequest GatewayFixture::StreamRequest(const std::string& path,
+                                          const std::string& id) const {
+  HttpRequest request = Request(path, id);
+  request.fields.push_back({"Token-Counts", "100,40"});
+  request.fields.push_back({"Model", "m"});
+  return request;
+}
+
+std::shared_ptr<std::optional<HttpFetchResult>> GatewayFixture::Start(
+    const HttpRequest& request) {
+  auto done = std::make_shared<std::optional<HttpFetchResult>>();
+  HttpFetch(io, callers.local_endpoint(), request, std::chrono::seconds(60),
+            [done](HttpFetchResult result) { *done = std::move(result); });
+  return done;
+}
+
+std::optional<HttpResponse> GatewayFixture::Fetch(const HttpRequest& request) {
+  const auto done = Start(request);
+  RunUntil([&] { return done->has_value(); });
+  return (*done)->response;
+}
+
+void GatewayFixture::RunUntil(const std::function<bool()>& condition) {
+  while (!condition()) BOOST_REQUIRE(io.run_one() > 0);
+}
+
+std::string FieldOf(const HttpResponse& response, const std::string& name) {
+  for (const HttpField& field : response.fields) {
+    if (boost::beast::iequals(field.name, name)) return field.value;
+  }
+  return {};
+}
+
+std::vector<int> EventIds(const std::string& body) {
+  std::vector<int> ids;
+  std::istringstream lines(body);
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.rfind("id: ", 0) == 0) ids.push_back(std::stoi(line.substr(4)));
+  }
+  return ids;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/platform/gateway_test.cc
@@ -0,0 +1,280 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "platform/gateway_fixture.h"
+#include "platform/platform_engine.h"
+#include "platform/scripted_server.h"
+
+// The gateway against stand-ins of the platform's servers, proper and faulty.
+namespace coltsfootfork {
+namespace {
+
+std::string IdOf(const std::string& request) {
+  const std::string name = "Request-Id: ";
+  const std::size_t at = request.find(name) + name.size();
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+std::string Answer(const std::string& id, const std::string& body,
+                   int status = 200) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id +
+         "\r\nResponse-Signature: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerPassesUnchangedAndTheKeyDoesNot) {
+  GatewayFixture fixture;
+  PlatformEngine server(fixture.io, "i-1");
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(answer->body == "from i-1");
+  BOOST_TEST(FieldOf(*answer, "Response-Signature") == "by-i-1");
+  BOOST_TEST(server.LastField("Tenant") == "workspace");
+  BOOST_TEST(server.LastField("Credential") == "");
+  BOOST_TEST(server.LastField("Expect-Instance") == "i-1");
+  BOOST_TEST(std::stoi(server.LastField("Deadline-Ms")) <= 10000);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsNotAllowedIsToldApart) {
+  GatewayFixture fixture;
+  PlatformEngine server(fixture.io, "i-1");
+  fixture.Announce("i-1", server.address(), "ledger");
+  // One that knows no plan yet must not say that a route is not there.
+  auto answer = fixture.Fetch(fixture.Request("/sale/1", "r0"));
+  BOOST_TEST(answer->status == 503);
+  BOOST_TEST(FieldOf(*answer, "Retry-After") != "");
+  fixture.SetPlan();
+  BOOST_TEST(fixture.Fetch(fixture.Request("/none/1", "r1"))->status == 404);
+  HttpRequest stranger = fixture.Request("/sale/1", "r2");
+  stranger.fields[2].value = "another key";
+  BOOST_TEST(fixture.Fetch(stranger)->status == 401);
+  stranger.target = "/open/1";
+  BOOST_TEST(fixture.Fetch(stranger)->status == 200);
+  BOOST_TEST(server.LastField("Tenant") == "");
+}
+
+BOOST_AUTO_TEST_CASE(ATurnedDownCallGoesToAnotherServerAsAttemptsAllow) {
+  GatewayFixture fixture;
+  PlatformEngine server(fixture.io, "i-1");
+  server.SetFull(true);
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto refused = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_TEST(refused->status == 503);
+  BOOST_TEST(FieldOf(*refused, "Retry-After") != "");
+  BOOST_TEST(server.runs_begun() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressThatAnotherServerHasTakenOverRunsNothing) {
+  GatewayFixture fixture;
+  PlatformEngine other(fixture.io, "i-2");
+  fixture.SetPlan();
+  fixture.Announce("i-1", other.address(), "ledger");
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r1"))->status == 503);
+  BOOST_TEST(other.runs_begun() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ACallThatMayHaveRunIsNotSentAgain) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string&, int) {
+    return ScriptedAnswer{"", false, true};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto answer = fixture.Fetch(fixture.Request("/order/1", "r1"));
+  BOOST_TEST(answer->status == 502);
+  BOOST_TEST(FieldOf(*answer, "Retry-After") == "");
+  BOOST_TEST(server.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdempotentCallIsSentToAnotherServer) {
+  GatewayFixture fixture;
+  int failures = 0;
+  const auto script = [&](const std::string& request, int) {
+    if (failures++ == 0) return ScriptedAnswer{"", false, true};
+    return ScriptedAnswer{Answer(IdOf(request), "read"), false, false};
+  };
+  ScriptedServer one(fixture.io, script);
+  ScriptedServer two(fixture.io, script);
+  fixture.SetPlan();
+  fixture.Announce("i-1", one.address(), "ledger");
+  fixture.Announce("i-2", two.address(), "ledger");
+  // Enough first calls for the budget of repeats.
+  failures = 1;
+  for (int i = 0; i < 10; ++i) {
+    fixture.Fetch(fixture.Request("/stock/1", "w" + std::to_string(i)));
+  }
+  failures = 0;
+  const auto answer = fixture.Fetch(fixture.Request("/stock/1", "r1"));
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(answer->body == "read");
+  BOOST_TEST(failures == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AServersOwnFailureIsDeliveredUnchanged) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return ScriptedAnswer{Answer(IdOf(request), "broken inside", 500)};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_TEST(answer->status == 500);
+  BOOST_TEST(answer->body == "broken inside");
+  BOOST_TEST(FieldOf(*answer, "Response-Signature") == "s");
+}
+
+// A server may send a further answer later, where the next one is due.
+BOOST_AUTO_TEST_CASE(ALateAnswerOfAnotherCallIsPassedOver) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return ScriptedAnswer{Answer("an earlier call", "not this one") +
+                          Answer(IdOf(request), "this one")};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(answer->body == "this one");
+}
+
+BOOST_AUTO_TEST_CASE(BytesBehindAnAnswerEndTheConnection) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return ScriptedAnswer{Answer(IdOf(request), "whole") +
+                          Answer("extra", "extra")};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  for (int i = 0; i < 3; ++i) {
+    const auto answer =
+        fixture.Fetch(fixture.Request("/sale/1", "r" + std::to_string(i)));
+    BOOST_TEST(answer->body == "whole");
+  }
+  BOOST_TEST(server.connections() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionIsReusedAfterAWholeAnswer) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return ScriptedAnswer{Answer(IdOf(request), "whole")};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  for (int i = 0; i < 3; ++i) {
+    fixture.Fetch(fixture.Request("/sale/1", "r" + std::to_string(i)));
+  }
+  BOOST_TEST(server.connections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerMayEndWithItsConnectionButNotWithAReset) {
+  GatewayFixture fixture;
+  bool reset = false;
+  ScriptedServer server(fixture.io, [&](const std::string& request, int) {
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + IdOf(request) +
+        "\r\nResponse-Signature: s\r\n\r\nall of it";
+    return ScriptedAnswer{bytes, !reset, reset};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto whole = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_TEST(whole->status == 200);
+  BOOST_TEST(whole->body == "all of it");
+  reset = true;
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r2"))->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(ACutAnswerIsNoSuccess) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    std::string bytes = Answer(IdOf(request), "a body of some length");
+    bytes.resize(bytes.size() - 5);
+    return ScriptedAnswer{bytes, true, false};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r1"))->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(BytesThatAreNoAnswerAreNotHandedOn) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string&, int) {
+    return ScriptedAnswer{"\x01\x02 not HTTP at all\r\n\r\n"};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r1"))->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(ASuccessWithoutTheServersSignatureIsNone) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return ScriptedAnswer{"HTTP/1.1 200 OK\r\nRequest-Id: " + IdOf(request) +
+                          "\r\nContent-Length: 2\r\n\r\nok"};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r1"))->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesStopsTheServer) {
+  GatewayFixture fixture;
+  ScriptedServer server(
+      fixture.io, [](const std::string&, int) { return ScriptedAnswer{}; });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  {
+    boost::asio::ip::tcp::socket caller(fixture.io);
+    caller.connect(fixture.callers.local_endpoint());
+    const std::string request =
+        "POST /sale/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+        "Credential: key\r\nContent-Length: 0\r\n\r\n";
+    caller.write_some(boost::asio::buffer(request));
+    fixture.RunUntil([&] { return server.requests().size() == 1; });
+  }
+  fixture.RunUntil([&] { return server.closed() == 1; });
+  BOOST_TEST(fixture.gateway.open_calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ACallPastItsTimeIsAnsweredAndTheServerStopped) {
+  GatewayFixture fixture;
+  ScriptedServer server(
+      fixture.io, [](const std::string&, int) { return ScriptedAnswer{}; });
+  fixture.SetPlan(/*timeout_ms=*/50);
+  fixture.Announce("i-1", server.address(), "ledger");
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  // It may have run, so no status that promises that it has not.
+  BOOST_TEST(answer->status == 504);
+  fixture.RunUntil([&] { return server.closed() == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAServerACallIsRefusedAsNotRun) {
+  GatewayFixture fixture;
+  fixture.SetPlan();
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_TEST(answer->status == 503);
+  BOOST_TEST(FieldOf(*answer, "Retry-After") != "");
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatLeavesGetsNoFurtherCall) {
+  GatewayFixture fixture;
+  PlatformEngine one(fixture.io, "i-1");
+  PlatformEngine two(fixture.io, "i-2");
+  fixture.SetPlan();
+  fixture.Announce("i-1", one.address(), "ledger");
+  fixture.Announce("i-2", two.address(), "ledger");
+  fixture.Announce("i-1", one.address(), "ledger", ServerState::kDraining);
+  const int before = one.runs_begun();
+  for (int i = 0; i < 10; ++i) {
+    fixture.Fetch(fixture.Request("/sale/1", "r" + std::to_string(i)));
+  }
+  BOOST_TEST(one.runs_begun() == before);
+  BOOST_TEST(two.runs_begun() == 10);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/platform/platform_calls_test.cc
@@ -0,0 +1,140 @@
+#include "platform_calls.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork::platform {
+namespace {
+
+std::string FieldOf(const std::vector<HttpField>& fields,
+                    const std::string& name) {
+  std::string value = "none";
+  for (const HttpField& field : fields) {
+    if (field.name == name) value = value == "none" ? field.value : "twice";
+  }
+  return value;
+}
+
+HttpRequest Request() {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/a/1";
+  request.fields = {{"Host", "a.example"},
+                    {"Request-Id", "9c41"},
+                    {"Model", "m"},
+                    {"Token-Counts", "1460,80"},
+                    {"Prefix-Hash", "5c1e:800"},
+                    {"Length-Hint", "64"},
+                    {"Deadline-Ms", "39000"},
+                    {"Credential", "key"}};
+  return request;
+}
+
+ForwardHead Head() {
+  ForwardHead head;
+  head.server = ServerId("i-1");
+  head.patience = std::chrono::milliseconds(38000);
+  head.workspace = WorkspaceId("t");
+  head.rank = 12;
+  return head;
+}
+
+BOOST_AUTO_TEST_CASE(ACallIsRead) {
+  const CallHead head = PlatformCalls().ReadCall(Request());
+  BOOST_TEST(head.id == RequestId("9c41"));
+  BOOST_TEST(head.key == "key");
+  BOOST_CHECK(head.patience.value() == std::chrono::milliseconds(39000));
+  BOOST_TEST(head.prompt_tokens == 1460U);
+  BOOST_TEST(head.max_output_tokens == 80U);
+  BOOST_TEST(head.expected_output_tokens.value() == 64U);
+}
+
+BOOST_AUTO_TEST_CASE(BadFieldsOfACallAreAsIfTheyWereNotThere) {
+  HttpRequest request = Request();
+  for (HttpField& field : request.fields) {
+    if (field.name != "Host") field.value = "-1 x";
+  }
+  const CallHead head = PlatformCalls().ReadCall(request);
+  BOOST_TEST(!head.patience.has_value());
+  BOOST_TEST(head.prompt_tokens == 0U);
+  BOOST_TEST(!head.expected_output_tokens.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheServerGetsTheWorkspaceAndNeverTheKey) {
+  const auto fields = PlatformCalls().ForwardFields(Request(), Head());
+  BOOST_TEST(FieldOf(fields, "Credential") == "none");
+  BOOST_TEST(FieldOf(fields, "Tenant") == "t");
+  BOOST_TEST(FieldOf(fields, "Deadline-Ms") == "38000");
+  BOOST_TEST(FieldOf(fields, "Expect-Instance") == "i-1");
+  BOOST_TEST(FieldOf(fields, "Request-Priority") == "9");
+  BOOST_TEST(FieldOf(fields, "Request-Id") == "9c41");
+  BOOST_TEST(FieldOf(fields, "Prefix-Hash") == "5c1e:800");
+  BOOST_TEST(FieldOf(fields, "Kv-From") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsTheSystemsToSetIsNotTakenFromCallers) {
+  HttpRequest request = Request();
+  for (const char* name :
+       {"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Tenant",
+        "request-priority", "Expect-Instance", "Last-Event-Id"}) {
+    request.fields.push_back({name, "forged"});
+  }
+  for (const HttpField& field :
+       PlatformCalls().ForwardFields(request, Head())) {
+    BOOST_TEST(field.value != "forged", field.name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatGoesOnNamesItsCopyAndItsLastEvent) {
+  ForwardHead head = Head();
+  head.carry = CarrySource{"10.0.0.1:80", "h7"};
+  head.last_event = "31";
+  head.backup_address = "10.0.0.2:80";
+  const auto fields = PlatformCalls().ForwardFields(Request(), head);
+  BOOST_TEST(FieldOf(fields, "Kv-From") == "10.0.0.1:80/h7");
+  BOOST_TEST(FieldOf(fields, "Last-Event-Id") == "31");
+  BOOST_TEST(FieldOf(fields, "Kv-Backup") == "10.0.0.2:80");
+}
+
+BOOST_AUTO_TEST_CASE(OnlyTheServersWordMakesACallNotRun) {
+  const PlatformCalls calls;
+  HttpResponse answer;
+  answer.status = 503;
+  BOOST_TEST(!calls.ReadAnswer(answer).not_run);
+  answer.fields = {{"Not-Executed", "1"}};
+  BOOST_TEST(calls.ReadAnswer(answer).not_run);
+  HttpResponse other;
+  other.status = 421;
+  BOOST_TEST(calls.ReadAnswer(other).not_run);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToMovesAreRead) {
+  const PlatformCalls calls;
+  const auto read = [&](int status, const std::string& body) {
+    return calls.ReadMove({status, "application/json", {}, body});
+  };
+  BOOST_TEST(read(200, R"({"handle":"h1","made":4})").handle == "h1");
+  BOOST_CHECK(read(200, R"({"handle":"h1"})").end == MoveEnd::kDone);
+  BOOST_CHECK(read(404, "").end == MoveEnd::kUnknown);
+  BOOST_CHECK(read(409, "").end == MoveEnd::kBusy);
+  BOOST_CHECK(read(503, R"({"handle":"h2"})").end == MoveEnd::kNoRoom);
+  BOOST_TEST(read(503, R"({"handle":"h2"})").handle == "h2");
+  BOOST_CHECK(read(500, "[").end == MoveEnd::kFailed);
+  BOOST_TEST(read(200, R"({"handle":[]})").handle.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AListOfRunsIsReadWholeOrNotAtAll) {
+  const PlatformCalls calls;
+  const auto read = [&](int status, const std::string& body) {
+    return calls.ReadRuns({status, "application/json", {}, body});
+  };
+  const auto runs = read(200, R"({"runs":[["a",3500,12,2],["b",70,1,0]]})");
+  BOOST_REQUIRE(runs.has_value());
+  BOOST_TEST(runs->size() == 2U);
+  BOOST_TEST((*runs)[1].tokens == 70U);
+  BOOST_TEST(!read(200, R"({"runs":[["a",3500],[1]]})").has_value());
+  BOOST_TEST(!read(200, "{}").has_value());
+  BOOST_TEST(!read(503, R"({"runs":[]})").has_value());
+}
+
+}  // namespace
+}  // namespace coltsfootfork::platform
--- /dev/null
+++ b/tests/platform/platform_engine.cc
@@ -0,0 +1,166 @@
+#include "platform/platform_engine.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Long enough that a test can act in the middle of a stream.
+constexpr milliseconds kBetweenEvents{2};
+
+std::string Text(std::string_view value) { return std::string(value); }
+
+}  // namespace
+
+struct PlatformEngine::Run {
+  explicit Run(boost::asio::io_context& io) : timer(io) {}
+  std::shared_ptr<HttpExchange> exchange;
+  boost::asio::steady_timer timer;
+  std::string id;
+  std::string backup;
+  int made = 0;
+};
+
+PlatformEngine::PlatformEngine(boost::asio::io_context& io, std::string id)
+    : io_(io),
+      id_(std::move(id)),
+      server_(io, ParseEndpoint("127.0.0.1:0").value(), HttpLimits(),
+              [this](const HttpRequest& request,
+                     const std::shared_ptr<HttpExchange>& exchange) {
+                OnRequest(request, exchange);
+              }) {}
+
+std::string PlatformEngine::address() const {
+  return FormatEndpoint(server_.local_endpoint());
+}
+
+std::string PlatformEngine::LastField(const std::string& name) const {
+  return Text(last_call_.Field(name));
+}
+
+void PlatformEngine::Crash() {
+  const auto runs = std::exchange(runs_, {});
+  for (const auto& [call, run] : runs) {
+    run->timer.cancel();
+    run->exchange->AbortStream();
+  }
+}
+
+PlatformEngine* PlatformEngine::Peer(const std::string& address) {
+  if (address == this->address()) return this;
+  for (PlatformEngine* peer : peers_) {
+    if (peer->address() == address) return peer;
+  }
+  return nullptr;
+}
+
+void PlatformEngine::OnRequest(const HttpRequest& request,
+                               const std::shared_ptr<HttpExchange>& exchange) {
+  if (request.target == "/api/kv-move") return OnMove(request, *exchange);
+  if (request.target == "/api/report") {
+    auto runs = json::array();
+    for (const auto& [call, run] : runs_) {
+      runs.push_back({run->id, 100, run->made, 5});
+    }
+    return exchange->Respond(
+        {200, "application/json", {}, json{{"runs", runs}}.dump()});
+  }
+  OnCall(request, exchange);
+}
+
+void PlatformEngine::OnCall(const HttpRequest& request,
+                            const std::shared_ptr<HttpExchange>& exchange) {
+  const std::string call = Text(request.Field("Request-Id"));
+  const std::string expected = Text(request.Field("Expect-Instance"));
+  if (!expected.empty() && expected != id_) {
+    return exchange->Respond({421, "", {{"Instance-Id", id_}}, ""});
+  }
+  const std::string from = Text(request.Field("Kv-From"));
+  const std::string handle = from.substr(from.find('/') + 1);
+  const bool has_copy = !from.empty() && copies_.count(handle) != 0;
+  if ((from.empty() && full_) || (!from.empty() && !has_copy)) {
+    return exchange->Respond(
+        {503, "", {{"Request-Id", call}, {"Not-Executed", "1"}}, ""});
+  }
+  last_call_ = request;
+  if (has_copy) {
+    copies_.erase(handle);
+    ++runs_carried_;
+  } else {
+    ++runs_begun_;
+  }
+  const std::vector<HttpField> fields = {{"Request-Id", call},
+                                         {"Response-Signature", "by-" + id_}};
+  if (request.Field("Token-Counts").empty()) {
+    return exchange->Respond({200, "text/plain", fields, "from " + id_});
+  }
+  auto run = std::make_shared<Run>(io_);
+  run->exchange = exchange;
+  run->id = call;
+  run->backup = Text(request.Field("Kv-Backup"));
+  const std::string last = Text(request.Field("Last-Event-Id"));
+  run->made = last.empty() ? 0 : std::stoi(last);
+  runs_[call] = run;
+  exchange->OnCallerGone([this, call] {
+    const auto found = runs_.find(call);
+    if (found == runs_.end()) return;
+    found->second->timer.cancel();
+    runs_.erase(found);
+  });
+  exchange->StartStream({200, "text/event-stream", fields, {}});
+  Step(call);
+}
+
+void PlatformEngine::Step(const std::string& call) {
+  const auto found = runs_.find(call);
+  if (found == runs_.end()) return;
+  const std::shared_ptr<Run> run = found->second;
+  ++run->made;
+  run->exchange->WriteChunk("id: " + std::to_string(run->made) +
+                            "\ndata: token\n\n");
+  if (PlatformEngine* backup = Peer(run->backup)) {
+    backup->copies_.insert(call);
+  }
+  if (run->made >= events_) {
+    run->exchange->FinishStream();
+    runs_.erase(call);
+    return;
+  }
+  run->timer.expires_after(kBetweenEvents);
+  run->timer.async_wait([this, call](boost::system::error_code error) {
+    if (!error) Step(call);
+  });
+}
+
+void PlatformEngine::OnMove(const HttpRequest& request,
+                            HttpExchange& exchange) {
+  const json body = json::parse(request.body);
+  const std::string call = body.at("id");
+  const auto found = runs_.find(call);
+  if (found == runs_.end()) return exchange.Respond({404, "", {}, ""});
+  PlatformEngine* target = Peer(body.at("to"));
+  const std::string handle = "h-" + call;
+  const json answer = {{"handle", handle}, {"made", found->second->made}};
+  const bool is_final = body.at("final_move");
+  const bool has_room = target != nullptr && !target->full_;
+  if (is_final) {
+    const std::shared_ptr<Run> run = found->second;
+    runs_.erase(found);
+    run->timer.cancel();
+    run->exchange->AbortStream();
+    (has_room ? target : this)->copies_.insert(handle);
+  }
+  if (!has_room) {
+    return exchange.Respond(
+        {503, "application/json", {}, is_final ? answer.dump() : "{}"});
+  }
+  exchange.Respond({200, "application/json", {}, answer.dump()});
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/platform/processes_test.cc
@@ -0,0 +1,155 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "platform/platform_engine.h"
+#include "shell/net/http_client.h"
+#include "shell/net/ip_address.h"
+#include "support/child_process.h"
+#include "support/fleet.h"
+
+// The program's processes as the platform runs them: one control process and
+// one entry, in front of a stand-in engine that lives in the test.
+namespace coltsfootfork {
+namespace {
+
+using nlohmann::json;
+
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':') + 1);
+}
+
+struct World {
+  World() : engine(io, "i-1") {
+    const json shared = {{"availability_zone", "z"},
+                         {"ip", "127.0.0.1"},
+                         {"fleet_port", std::stoi(PortOf(fleet_address))},
+                         {"control_seeds", {"127.0.0.1:1"}},
+                         {"stop_within_s", 8.0}};
+    json settings = shared;
+    settings["process"] = "control-1";
+    settings["control_listen"] = control_address;
+    settings["data_folder"] = fleet.folder() + "/data";
+    settings["is_first_start"] = true;
+    Start("control", settings, control);
+    settings = shared;
+    settings["process"] = "entry-1";
+    settings["callers_listen"] = callers_address;
+    settings["ready_listen"] = ready_address;
+    settings["metrics_listen"] = metrics_address;
+    Start("entry", settings, entry);
+  }
+
+  void Start(const std::string& role, const json& settings,
+             std::unique_ptr<ChildProcess>& process) {
+    const std::string path = fleet.folder() + "/" + role + ".json";
+    std::ofstream(path) << settings.dump();
+    process = std::make_unique<ChildProcess>(
+        COLTSFOOTFORK_PROGRAM,
+        std::vector<std::string>{"platform", role, "--settings", path},
+        path + ".log");
+  }
+
+  HttpResponse Call(const std::string& address, const std::string& method,
+                    const std::string& path, const std::string& body,
+                    std::vector<HttpField> fields = {}) {
+    HttpRequest request;
+    request.method = method;
+    request.target = path;
+    request.body = body;
+    request.fields = std::move(fields);
+    std::optional<HttpFetchResult> done;
+    HttpFetch(io, ParseEndpoint(address).value(), request,
+              std::chrono::seconds(30),
+              [&](HttpFetchResult result) { done = std::move(result); });
+    while (!done) BOOST_REQUIRE(io.run_one() > 0);
+    return done->response.value_or(HttpResponse{0, "", {}, ""});
+  }
+
+  void Serve() {
+    const json document = {{"version", 5},
+                           {"routes",
+                            {{{"host", "a.example"},
+                              {"path_prefix", "/x/"},
+                              {"kind", "non_idempotent"},
+                              {"timeout_ms", 5000},
+                              {"service", "s"}}}},
+                           {"services", {{{"name", "s"}, {"max_conns", 10}}}}};
+    const json heartbeat = {{"service", "s"},   {"address", engine.address()},
+                            {"state", "ready"}, {"sequence", 1},
+                            {"born", 1000},     {"slots", 4}};
+    Fleet::Await("the change is taken", [&] {
+      return Call(control_address, "POST", "/api/config/put", document.dump())
+                 .status == 200;
+    });
+    Fleet::Await("the server is taken", [&] {
+      return Call(control_address, "POST", "/api/instances/i-1/heartbeat",
+                  heartbeat.dump())
+                 .status == 200;
+    });
+    Fleet::Await("the entry is ready", [&] {
+      return Call(ready_address, "GET", "/api/readyz", "").status == 200;
+    });
+  }
+
+  HttpResponse Request(const std::string& id) {
+    return Call(
+        callers_address, "POST", "/x/1", "body",
+        {{"Host", "a.example"}, {"Request-Id", id}, {"Deadline-Ms", "4000"}});
+  }
+
+  Fleet fleet;
+  boost::asio::io_context io{1};
+  PlatformEngine engine;
+  std::string fleet_address = Fleet::UnusedAddress();
+  std::string control_address = Fleet::UnusedAddress();
+  std::string callers_address = Fleet::UnusedAddress();
+  std::string ready_address = Fleet::UnusedAddress();
+  std::string metrics_address = Fleet::UnusedAddress();
+  std::unique_ptr<ChildProcess> control;
+  std::unique_ptr<ChildProcess> entry;
+};
+
+BOOST_AUTO_TEST_CASE(ACallIsServedFromEndToEnd) {
+  World world;
+  BOOST_TEST(world.Call(world.ready_address, "GET", "/api/readyz", "").status !=
+             200);
+  world.Serve();
+  const HttpResponse answer = world.Request("r1");
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.body == "from i-1");
+  const std::string metrics =
+      world.Call(world.metrics_address, "GET", "/metrics", "").body;
+  BOOST_TEST(metrics.find("calls_total{outcome=\"served\"} 1") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AStoppedEntryIsNotReadyStillServesAndEnds) {
+  World world;
+  world.Serve();
+  world.entry->Signal(SIGTERM);
+  Fleet::Await("the entry is not ready", [&] {
+    return world.Call(world.ready_address, "GET", "/api/readyz", "").status ==
+           503;
+  });
+  // The balancer may send connections for a while yet.
+  BOOST_TEST(world.Request("r1").status == 200);
+  BOOST_TEST(world.entry->Wait() == 0);
+  world.control->Signal(SIGTERM);
+  BOOST_TEST(world.control->Wait() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ChangedSettingsDoNotDisturbAnEntry) {
+  World world;
+  world.Serve();
+  const std::string path = world.fleet.folder() + "/entry.json";
+  std::ofstream(path) << "no settings at all";
+  world.entry->Signal(SIGHUP);
+  BOOST_TEST(world.Request("r1").status == 200);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/platform/scripted_server.cc
@@ -0,0 +1,74 @@
+#include "platform/scripted_server.h"
+
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "shell/net/ip_address.h"
+
+namespace coltsfootfork {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+struct ScriptedServer::Connection {
+  explicit Connection(tcp::socket open) : socket(std::move(open)) {}
+  tcp::socket socket;
+  int number = 0;
+  std::string text;
+  std::string answer;
+  char buffer[4096];
+};
+
+ScriptedServer::ScriptedServer(boost::asio::io_context& io, Script script)
+    : io_(io),
+      acceptor_(io, ParseEndpoint("127.0.0.1:0").value()),
+      script_(std::move(script)) {
+  Accept();
+}
+
+std::string ScriptedServer::address() const {
+  return FormatEndpoint(acceptor_.local_endpoint());
+}
+
+void ScriptedServer::Accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error) return;
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    connection->number = ++connections_;
+    Read(connection);
+    Accept();
+  });
+}
+
+void ScriptedServer::Read(const std::shared_ptr<Connection>& connection) {
+  connection->socket.async_read_some(
+      boost::asio::buffer(connection->buffer),
+      [this, connection](error_code error, std::size_t size) {
+        if (error) {
+          ++closed_;
+          return;
+        }
+        connection->text.append(connection->buffer, size);
+        if (connection->text.find("\r\n\r\n") == std::string::npos) {
+          return Read(connection);
+        }
+        requests_.push_back(std::exchange(connection->text, {}));
+        const ScriptedAnswer answer =
+            script_(requests_.back(), connection->number);
+        connection->answer = answer.bytes;
+        error_code ignored;
+        boost::asio::write(connection->socket,
+                           boost::asio::buffer(connection->answer), ignored);
+        if (answer.reset) {
+          connection->socket.set_option(
+              boost::asio::socket_base::linger(true, 0), ignored);
+        }
+        if (answer.close || answer.reset) {
+          connection->socket.close(ignored);
+          return;
+        }
+        Read(connection);
+      });
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/tests/shell/gateway/event_splitter_test.cc
@@ -0,0 +1,41 @@
+#include "shell/gateway/event_splitter.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+BOOST_AUTO_TEST_CASE(EventsComeWholeHoweverTheBytesArrive) {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events = splitter.Feed(stream.substr(0, cut));
+    for (StreamEvent& event : splitter.Feed(stream.substr(cut))) {
+      events.push_back(std::move(event));
+    }
+    BOOST_REQUIRE(events.size() == 2U);
+    BOOST_TEST(events[0].text == "id: 1\ndata: a\n\n");
+    BOOST_TEST(events[0].id.value() == 1U);
+    BOOST_TEST(events[1].id.value() == 2U);
+    BOOST_TEST(splitter.rest().empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(APartOfAnEventIsHeldBack) {
+  EventSplitter splitter;
+  BOOST_TEST(splitter.Feed("id: 7\ndata: half").empty());
+  BOOST_TEST(splitter.rest() == "id: 7\ndata: half");
+  splitter.DropRest();
+  BOOST_TEST(splitter.Feed("id: 7\ndata: whole\n\n").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdThatIsNoNumberIsNone) {
+  EventSplitter splitter;
+  const auto events = splitter.Feed("id: x\ndata: a\n\ndata: b\n\n");
+  BOOST_REQUIRE(events.size() == 2U);
+  BOOST_TEST(!events[0].id.has_value());
+  BOOST_TEST(!events[1].id.has_value());
+}
+
+}  // namespace
+}  // namespace coltsfootfork
