--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -27,19 +27,16 @@
   return "failed";
 }
 
-// Backups may fill an engine up to this part, so that calls still find room.
-constexpr double kBackupFill = 0.75;
-
 }  // namespace
 
 void GatewayCall::ChooseBackup(LegPlan& leg, Time now) {
-  const bool wanted = context_.options.carry_streams && service_->engine &&
-                      service_->engine->backups &&
-                      route_->kind == CallKind::kStreaming &&
-                      !route_->MayRepeat();
+  const bool wanted =
+      context_.options.carry_streams && context_.options.backup_fill > 0 &&
+      service_->engine && service_->engine->backups &&
+      route_->kind == CallKind::kStreaming && !route_->MayRepeat();
   if (!wanted) return;
   ServerQuery query = QueryFor(tokens_);
-  query.fill = kBackupFill;
+  query.fill = context_.options.backup_fill;
   query.excluded.insert(leg.server);
   const auto choice = context_.board.Pick(query, now);
   if (!choice || !choice->fits) return;
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -24,6 +24,10 @@
   RepeatBudgetOptions budget;
   // Whether streams are carried over to another engine when theirs leaves.
   bool carry_streams = true;
+  // Copies of running streams are kept on other engines while their memory is
+  // filled up to this part; zero keeps none. Copies cost as much memory as the
+  // streams: docs/design/carrying-over.md has what they gain and lose.
+  double backup_fill = 0;
 };
 
 // What the calls of one entry share.
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -94,8 +94,7 @@
              lowest);
 }
 
-void StartLogTo(const log4cplus::SharedAppenderPtr& appender,
-                LogLevel lowest) {
+void StartLogTo(const log4cplus::SharedAppenderPtr& appender, LogLevel lowest) {
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n")));
   log4cplus::Logger logger =
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -34,6 +34,7 @@
   options.budget.ratio = settings.repeat_ratio;
   options.budget.window = settings.repeat_window;
   options.carry_streams = settings.carry_streams;
+  options.backup_fill = settings.backup_fill;
   return options;
 }
 
--- a/src/shell/serving/serving_settings.cc
+++ b/src/shell/serving/serving_settings.cc
@@ -155,14 +155,14 @@
   settings.control_seeds = reader.Hosts("control_seeds");
   settings.is_first_start = reader.Flag("is_first_start", false);
   settings.data_folder = reader.Text("data_folder", /*required=*/false);
-  settings.refuse_copies =
-      reader.Flag("refuse_copies", settings.refuse_copies);
+  settings.refuse_copies = reader.Flag("refuse_copies", settings.refuse_copies);
   settings.stop_within = reader.Seconds("stop_within_s", settings.stop_within);
   settings.repeat_ratio =
       reader.Fraction("repeat_ratio", settings.repeat_ratio);
   settings.repeat_window =
       reader.Seconds("repeat_window_s", settings.repeat_window);
   settings.carry_streams = reader.Flag("carry_streams", settings.carry_streams);
+  settings.backup_fill = reader.Fraction("backup_fill", settings.backup_fill);
   settings.log_level =
       ReadLevel(reader.Text("log_level", /*required=*/false), findings);
   if (settings.fleet_port == 0) {
--- a/src/shell/serving/serving_settings.h
+++ b/src/shell/serving/serving_settings.h
@@ -39,6 +39,8 @@
   double repeat_ratio = 0.2;
   std::chrono::milliseconds repeat_window{10000};
   bool carry_streams = true;
+  // See GatewayOptions.
+  double backup_fill = 0;
   LogLevel log_level = LogLevel::kInfo;
 
   // This process, and the seeds, as their peers name them.
