--- a/include/coltsfootfork/core/gateway/move_schedule.h
+++ b/include/coltsfootfork/core/gateway/move_schedule.h
@@ -32,6 +32,10 @@
   Duration TurnOf(const RequestId& id) const;
 
  private:
+  // Where there is time, turns leave room for copies that take longer than
+  // worked out: to another zone, or over a link that others use too.
+  void Stretch();
+
   std::map<RequestId, Duration> turns_;
   Duration end_{0};
 };
--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -80,12 +80,13 @@
   // preferred to any that it does not.
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
 
-  // A server for a running call that must go on elsewhere, drawn by the call's
-  // name in proportion to the room there, mostly in the zone where it runs.
-  // Calls that leave an engine together, at entries that do not know of each
-  // other, spread over all servers, and so over their links.
+  // A server for a running call that must leave `source`, drawn by the call's
+  // name in proportion to the room there, mostly in the source's zone. Calls
+  // that leave an engine together, at entries that do not know of each other,
+  // spread over all servers. Where several engines leave at a time, each server
+  // takes calls of one of them only: copies of two would queue on its link.
   std::optional<ServerChoice> PickRefuge(const ServerQuery& query,
-                                         const ZoneId& zone,
+                                         const ServerId& source,
                                          const RequestId& call, Time now) const;
 
   // Whether the server may get new calls, by the directory.
@@ -99,6 +100,8 @@
     ServerLoad own;
     ServerLoad others;
     Time cold_until;
+    // When this entry heard that it leaves.
+    Time leaving_since;
     Time avoid_until;
     Duration avoid{0};
     // Share of failed answers, lately.
@@ -108,6 +111,8 @@
   std::vector<const Server*> Reachable(const ServerQuery& query,
                                        Time now) const;
   double LoadOf(const Server& server, const ServerQuery& query, Time now) const;
+  // The engines of the service that have begun to leave lately.
+  std::vector<ServerId> LeavingNow(const ServiceId& service, Time now) const;
   double RefugeWeight(const Server& server, const ServerQuery& query,
                       const ZoneId& zone) const;
   bool Fits(const Server& server, const ServerQuery& query) const;
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -24,9 +24,35 @@
 constexpr double kLeastRefugeWeight = 0.05;
 // A copy to another zone takes twice as long.
 constexpr double kOtherZoneWeight = 0.15;
+// A server that takes the calls of another leaving engine is the last resort.
+constexpr double kOthersRefugeWeight = 1e-6;
+// Longer than the notice that a leaving engine gives.
+constexpr Duration kLeavingLately = std::chrono::seconds(3);
 // Slots that a plain server's queue holds beyond those at work, as a multiple.
 constexpr double kQueueOfSlots = 2.0;
 
+// A number above 0 and below 1 that two names always draw together.
+double Lot(const std::string& a, const std::string& b) {
+  const std::string pair = a + '\n' + b;
+  constexpr unsigned kUnusedBits = 11;
+  constexpr std::uint64_t kLots = std::uint64_t{1} << 53U;
+  const std::uint64_t hash = XXH64(pair.data(), pair.size(), 0) >> kUnusedBits;
+  return (static_cast<double>(hash) + 0.5) / static_cast<double>(kLots);
+}
+
+// The leaving engine whose calls the server takes; all entries agree on it.
+ServerId OwnerOf(const ServerId& server, const std::vector<ServerId>& leaving) {
+  ServerId owner;
+  double best = 0;
+  for (const ServerId& one : leaving) {
+    const double lot = Lot(server.value(), one.value());
+    if (lot <= best) continue;
+    best = lot;
+    owner = one;
+  }
+  return owner;
+}
+
 }  // namespace
 
 ServerBoard::ServerBoard(const ServerBoardOptions& options, std::uint64_t seed)
@@ -42,6 +68,10 @@
       server.own = own;
       server.cold_until = now + entry.record.cold_left;
     }
+    if (entry.record.state == ServerState::kDraining &&
+        server.record.state == ServerState::kReady) {
+      server.leaving_since = now;
+    }
     server.record = entry.record;
   }
   for (auto server = servers_.begin(); server != servers_.end();) {
@@ -136,19 +166,21 @@
 }
 
 std::optional<ServerChoice> ServerBoard::PickRefuge(const ServerQuery& query,
-                                                    const ZoneId& zone,
+                                                    const ServerId& source,
                                                     const RequestId& call,
                                                     Time now) const {
+  const std::vector<ServerId> leaving = LeavingNow(query.service, now);
+  const ServerRecord* record = Find(source);
+  const ZoneId zone = record == nullptr ? ZoneId() : record->zone;
   const Server* best = nullptr;
   double best_rank = 0;
   for (const Server* server : Reachable(query, now)) {
-    const std::string pair = call.value() + '\n' + server->record.id.value();
+    const ServerId& id = server->record.id;
+    double weight = RefugeWeight(*server, query, zone);
+    if (OwnerOf(id, leaving) != source) weight *= kOthersRefugeWeight;
     // Weighted rendezvous hashing: each server is chosen in proportion to its
     // weight, whatever the other servers are.
-    const double lot =
-        (static_cast<double>(XXH64(pair.data(), pair.size(), 0) >> 11U) + 0.5) /
-        static_cast<double>(std::uint64_t{1} << 53U);
-    const double rank = -RefugeWeight(*server, query, zone) / std::log(lot);
+    const double rank = -weight / std::log(Lot(call.value(), id.value()));
     if (best != nullptr && rank <= best_rank) continue;
     best = server;
     best_rank = rank;
@@ -157,6 +189,18 @@
   return ServerChoice{best->record.id, best->record.address, true};
 }
 
+std::vector<ServerId> ServerBoard::LeavingNow(const ServiceId& service,
+                                              Time now) const {
+  std::vector<ServerId> leaving;
+  for (const auto& [id, server] : servers_) {
+    const bool lately = server.record.state == ServerState::kDraining &&
+                        server.record.service == service &&
+                        now < server.leaving_since + kLeavingLately;
+    if (lately) leaving.push_back(id);
+  }
+  return leaving;
+}
+
 double ServerBoard::RefugeWeight(const Server& server, const ServerQuery& query,
                                  const ZoneId& zone) const {
   double weight = kLeastRefugeWeight;
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -97,9 +97,7 @@
   query.fill = 1.0;
   const ServerId& source = leg_->plan().server;
   query.excluded.insert(source);
-  const ServerRecord* record = context_.board.Find(source);
-  const ZoneId zone = record == nullptr ? ZoneId() : record->zone;
-  const auto choice = context_.board.PickRefuge(query, zone, head_.id, now);
+  const auto choice = context_.board.PickRefuge(query, source, head_.id, now);
   if (!choice) return;
   ++move_tries_;
   move_ = std::make_shared<StreamMove>(context_, head_.id, leg_->plan().address,
@@ -128,6 +126,13 @@
     return CarryByMove(now);
   }
   const LegPlan& plan = leg_->plan();
+  Log(LogLevel::kInfo, Event::kStreamMoved,
+      {{"id", head_.id.value()},
+       {"from", plan.server.value()},
+       {"to", target.value()},
+       {"at_source", result.at_source ? "true" : "false"},
+       {"copy_ms", std::to_string(ToMilliseconds(result.copied_in))},
+       {"stop_ms", std::to_string(ToMilliseconds(result.stopped_for))}});
   const CarrySource source{plan.address, result.handle};
   if (result.at_source) {
     return GoOnAt(plan.server, plan.address, source,
--- a/src/shell/gateway/stream_move.cc
+++ b/src/shell/gateway/stream_move.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "shell/clock/monotonic_now.h"
 #include "shell/net/http_client.h"
 #include "shell/net/ip_address.h"
 
@@ -28,6 +29,7 @@
 
 void StreamMove::Order(bool is_final) {
   stopping_ = is_final;
+  ordered_ = MonotonicNow();
   const auto endpoint = ParseEndpoint(source_);
   if (!endpoint) return Report({});
   MoveOrder order;
@@ -50,10 +52,14 @@
   StreamMoveResult result;
   result.end = answer.end;
   result.handle = answer.handle;
+  const Duration taken = MonotonicNow() - ordered_;
   if (!is_final) {
+    copied_in_ = taken;
     if (answer.end == MoveEnd::kDone) return Order(/*is_final=*/true);
     return Report(result);
   }
+  result.copied_in = copied_in_;
+  result.stopped_for = taken;
   result.stopped = !answer.handle.empty();
   result.at_source = answer.end != MoveEnd::kDone;
   Report(result);
--- a/src/shell/gateway/stream_move.h
+++ b/src/shell/gateway/stream_move.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "coltsfootfork/core/types/ids.h"
+#include "coltsfootfork/core/types/time.h"
 #include "shell/gateway/gateway_context.h"
 
 namespace coltsfootfork {
@@ -16,6 +17,9 @@
   // Only set when it stopped. The copy is at the target, unless `at_source`.
   std::string handle;
   bool at_source = false;
+  // How long the first copy took, and the second, while the stream stood still.
+  Duration copied_in{0};
+  Duration stopped_for{0};
   // Why not, for the log.
   MoveEnd end = MoveEnd::kFailed;
 };
@@ -49,6 +53,8 @@
   std::string target_;
   Done done_;
   bool stopping_ = false;
+  Time ordered_;
+  Duration copied_in_{0};
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -69,6 +69,7 @@
       {Event::kCallSentAgain, "call_sent_again"},
       {Event::kStreamCarried, "stream_carried"},
       {Event::kCarryRefused, "carry_refused"},
+      {Event::kStreamMoved, "stream_moved"},
       {Event::kBecameLeader, "became_leader"},
       {Event::kLostLeadership, "lost_leadership"},
       {Event::kReplicaFailed, "replica_failed"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -36,6 +36,7 @@
   kCallSentAgain = 5004,
   kStreamCarried = 5005,
   kCarryRefused = 5006,
+  kStreamMoved = 5007,
   kBecameLeader = 6001,
   kLostLeadership = 6002,
   kReplicaFailed = 6003,
--- a/tests/core/gateway/call_policy_test.cc
+++ b/tests/core/gateway/call_policy_test.cc
@@ -74,8 +74,8 @@
       !Is<SendAgain>(DecideAfterSend(facts, SendEnd::kServerError, kNow)));
   facts.budget_allows = true;
   facts.sends = facts.max_attempts;
-  BOOST_TEST(Is<DeliverFailure>(
-      DecideAfterSend(facts, SendEnd::kServerError, kNow)));
+  BOOST_TEST(
+      Is<DeliverFailure>(DecideAfterSend(facts, SendEnd::kServerError, kNow)));
 }
 
 BOOST_AUTO_TEST_CASE(AnAnswerThatHasBegunIsBrokenOffRatherThanEndedFalsely) {
--- a/tests/core/gateway/plan_index_test.cc
+++ b/tests/core/gateway/plan_index_test.cc
@@ -46,8 +46,7 @@
              "a.example/x/");
   BOOST_TEST(NameOf(index.FindRoute("A.Example:8080", "/x/")) ==
              "a.example/x/");
-  BOOST_TEST(NameOf(index.FindRoute("b.example", "/anything")) ==
-             "b.example/");
+  BOOST_TEST(NameOf(index.FindRoute("b.example", "/anything")) == "b.example/");
 }
 
 BOOST_AUTO_TEST_CASE(APrefixDoesNotMatchAPartOfAName) {
--- a/tests/core/gateway/server_board_test.cc
+++ b/tests/core/gateway/server_board_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 namespace coltsfootfork {
 namespace {
@@ -100,8 +101,8 @@
   const ServerDirectory directory = Directory(2);
   ServerBoard board = Board(directory);
   const EngineProfile engine = Engine();
-  board.SetOthers({{ServerId("sa"), {8, 32000, 0}},
-                   {ServerId("sb"), {8, 32000, 0}}});
+  board.SetOthers(
+      {{ServerId("sa"), {8, 32000, 0}}, {ServerId("sb"), {8, 32000, 0}}});
   const auto choice = board.Pick(Query(engine, 3500), kNow);
   BOOST_REQUIRE(choice.has_value());
   BOOST_TEST(!choice->fits);
@@ -123,8 +124,8 @@
   const ServerDirectory directory = Directory(2);
   ServerBoard board = Board(directory);
   const EngineProfile engine = Engine();
-  board.SetOthers({{ServerId("sa"), {3, 9000, 0}},
-                   {ServerId("sb"), {2, 6000, 6000}}});
+  board.SetOthers(
+      {{ServerId("sa"), {3, 9000, 0}}, {ServerId("sb"), {2, 6000, 6000}}});
   BOOST_TEST(board.Pick(Query(engine, 100), kNow)->id == ServerId("sa"));
 }
 
@@ -164,28 +165,60 @@
   const EngineProfile engine = Engine();
   std::map<ServerId, int> chosen;
   for (int call = 0; call < 9; ++call) {
-    const auto choice = board.PickRefuge(
-        Query(engine, 3500), ZoneId("z"),
-        RequestId("call-" + std::to_string(call)), kNow);
+    const auto choice =
+        board.PickRefuge(Query(engine, 3500), ServerId("leaving"),
+                         RequestId("call-" + std::to_string(call)), kNow);
     BOOST_REQUIRE(choice.has_value());
     ++chosen[choice->id];
   }
   BOOST_TEST(chosen.size() >= 4U);
 }
 
+// Copies of two engines that leave at a time would queue on one link.
+BOOST_AUTO_TEST_CASE(EnginesThatLeaveTogetherMoveToDifferentServers) {
+  ServerDirectory directory = Directory(14);
+  ServerBoard board = Board(directory);
+  for (const char* id : {"sa", "sb", "sc"}) {
+    ServerRecord leaving = Record(id);
+    leaving.sequence = 2;
+    leaving.state = ServerState::kDraining;
+    directory.Merge(leaving, kNow);
+  }
+  board.Follow(directory, kNow);
+  const EngineProfile engine = Engine();
+  std::map<ServerId, std::set<std::string>> sources;
+  for (int call = 0; call < 27; ++call) {
+    const std::string source = std::string("s") + "abc"[call % 3];
+    const auto choice =
+        board.PickRefuge(Query(engine, 3500), ServerId(source),
+                         RequestId("call-" + std::to_string(call)), kNow);
+    BOOST_REQUIRE(choice.has_value());
+    sources[choice->id].insert(source);
+  }
+  int shared = 0;
+  for (const auto& [server, from] : sources) {
+    if (from.size() > 1) ++shared;
+  }
+  BOOST_TEST(shared <= 1);
+  BOOST_TEST(sources.size() >= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(StreamsPreferRefugeInTheirOwnZoneWithRoom) {
   ServerDirectory directory;
   directory.Merge(Record("sa", "z"), kNow);
   directory.Merge(Record("sb", "far"), kNow);
   directory.Merge(Record("sc", "z"), kNow);
+  directory.Merge(Record("leaving", "z"), kNow);
   ServerBoard board = Board(directory);
   const EngineProfile engine = Engine();
   board.SetOthers({{ServerId("sc"), {9, 34000, 0}}});
   int home = 0;
   for (int call = 0; call < 100; ++call) {
-    const auto choice = board.PickRefuge(
-        Query(engine, 3500), ZoneId("z"),
-        RequestId("call-" + std::to_string(call)), kNow);
+    ServerQuery query = Query(engine, 3500);
+    query.excluded = {ServerId("leaving")};
+    const auto choice =
+        board.PickRefuge(query, ServerId("leaving"),
+                         RequestId("call-" + std::to_string(call)), kNow);
     if (choice->id == ServerId("sa")) ++home;
   }
   BOOST_TEST(home > 70);
