gateway: Keep moves of memory within a zone where an engine leaves there

Ruled out: the schedule's order (turns follow the engine's list) and late notices (under 10 ms). Change: a server takes streams of one leaving engine of its own zone, if any leaves there.

--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -112,7 +112,8 @@
                                        Time now) const;
   double LoadOf(const Server& server, const ServerQuery& query, Time now) const;
   // The engines of the service that have begun to leave lately.
-  std::vector<ServerId> LeavingNow(const ServiceId& service, Time now) const;
+  std::vector<ServerRecord> LeavingNow(const ServiceId& service,
+                                       Time now) const;
   double RefugeWeight(const Server& server, const ServerQuery& query,
                       const ZoneId& zone) const;
   bool Fits(const Server& server, const ServerQuery& query) const;
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -23,7 +23,7 @@
 // peaks are not reached together.
 constexpr double kLeastRefugeWeight = 0.05;
 // A copy to another zone takes twice as long.
-constexpr double kOtherZoneWeight = 0.15;
+constexpr double kOtherZoneWeight = 0.05;
 // A server that takes the calls of another leaving engine is the last resort.
 constexpr double kOthersRefugeWeight = 1e-6;
 // Longer than the notice that a leaving engine gives.
@@ -40,15 +40,18 @@
   return (static_cast<double>(hash) + 0.5) / static_cast<double>(kLots);
 }
 
-// The leaving engine whose calls the server takes; all entries agree on it.
-ServerId OwnerOf(const ServerId& server, const std::vector<ServerId>& leaving) {
+// The leaving engine whose calls the server takes: one of the server's own zone
+// if any leaves there. All entries agree on it.
+ServerId OwnerOf(const ServerRecord& server,
+                 const std::vector<ServerRecord>& leaving) {
   ServerId owner;
   double best = 0;
-  for (const ServerId& one : leaving) {
-    const double lot = Lot(server.value(), one.value());
+  for (const ServerRecord& one : leaving) {
+    double lot = Lot(server.id.value(), one.id.value());
+    if (one.zone == server.zone) lot += 1;
     if (lot <= best) continue;
     best = lot;
-    owner = one;
+    owner = one.id;
   }
   return owner;
 }
@@ -169,7 +172,7 @@
                                                     const ServerId& source,
                                                     const RequestId& call,
                                                     Time now) const {
-  const std::vector<ServerId> leaving = LeavingNow(query.service, now);
+  const std::vector<ServerRecord> leaving = LeavingNow(query.service, now);
   const ServerRecord* record = Find(source);
   const ZoneId zone = record == nullptr ? ZoneId() : record->zone;
   const Server* best = nullptr;
@@ -177,7 +180,8 @@
   for (const Server* server : Reachable(query, now)) {
     const ServerId& id = server->record.id;
     double weight = RefugeWeight(*server, query, zone);
-    if (OwnerOf(id, leaving) != source) weight *= kOthersRefugeWeight;
+    if (OwnerOf(server->record, leaving) != source)
+      weight *= kOthersRefugeWeight;
     // Weighted rendezvous hashing: each server is chosen in proportion to its
     // weight, whatever the other servers are.
     const double rank = -weight / std::log(Lot(call.value(), id.value()));
@@ -189,14 +193,14 @@
   return ServerChoice{best->record.id, best->record.address, true};
 }
 
-std::vector<ServerId> ServerBoard::LeavingNow(const ServiceId& service,
-                                              Time now) const {
-  std::vector<ServerId> leaving;
+std::vector<ServerRecord> ServerBoard::LeavingNow(const ServiceId& service,
+                                                  Time now) const {
+  std::vector<ServerRecord> leaving;
   for (const auto& [id, server] : servers_) {
     const bool lately = server.record.state == ServerState::kDraining &&
                         server.record.service == service &&
                         now < server.leaving_since + kLeavingLately;
-    if (lately) leaving.push_back(id);
+    if (lately) leaving.push_back(server.record);
   }
   return leaving;
 }
