--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -99,8 +99,14 @@
             CountName(name) + "\"} " + std::to_string(count) + "\n";
   }
   for (const auto& [name, value] : values_) {
-    text += "# TYPE coltsfootfork_" + name + " gauge\ncoltsfootfork_" + name +
-            " " + std::to_string(value) + "\n";
+    const std::string metric = "coltsfootfork_" + name;
+    text += "# TYPE ";
+    text += metric;
+    text += " gauge\n";
+    text += metric;
+    text += ' ';
+    text += std::to_string(value);
+    text += '\n';
   }
   text += "# TYPE coltsfootfork_gateway_served_seconds histogram\n";
   const std::vector<Duration> bounds = Bounds();
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -179,9 +179,9 @@
   double best_rank = 0;
   for (const Server* server : Reachable(query, now)) {
     const ServerId& id = server->record.id;
-    double weight = RefugeWeight(*server, query, zone);
-    if (OwnerOf(server->record, leaving) != source)
-      weight *= kOthersRefugeWeight;
+    const bool is_owner = OwnerOf(server->record, leaving) == source;
+    const double weight = RefugeWeight(*server, query, zone) *
+                          (is_owner ? 1 : kOthersRefugeWeight);
     // Weighted rendezvous hashing: each server is chosen in proportion to its
     // weight, whatever the other servers are.
     const double rank = -weight / std::log(Lot(call.value(), id.value()));
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -164,8 +164,8 @@
 void ControlNode::OnAccepted(asio::ip::tcp::socket socket) {
   const std::uint64_t number = next_number_++;
   FrameLink::Events events;
-  events.on_frame = [this, number](std::string frame) {
-    OnIncoming(number, std::move(frame));
+  events.on_frame = [this, number](const std::string& frame) {
+    OnIncoming(number, frame);
   };
   events.on_down = [this, number] { incoming_.erase(number); };
   // The link may be down by the time that it is entered.
@@ -175,7 +175,7 @@
   if (found != incoming_.end()) found->second.link = std::move(link);
 }
 
-void ControlNode::OnIncoming(std::uint64_t number, std::string frame) {
+void ControlNode::OnIncoming(std::uint64_t number, const std::string& frame) {
   const auto found = incoming_.find(number);
   if (found == incoming_.end()) return;
   Incoming& incoming = found->second;
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -109,7 +109,7 @@
 
   void Accept();
   void OnAccepted(boost::asio::ip::tcp::socket socket);
-  void OnIncoming(std::uint64_t number, std::string frame);
+  void OnIncoming(std::uint64_t number, const std::string& frame);
   void Know(const std::string& peer);
   void Connect(const std::string& peer, Time now);
   void SendTo(const std::string& peer, const FleetMessage& message);
--- a/src/shell/fleet/frame_link.cc
+++ b/src/shell/fleet/frame_link.cc
@@ -19,7 +19,7 @@
 constexpr std::size_t kMaxOutgoingBytes = 24U << 20U;
 constexpr unsigned kBitsPerByte = 8;
 
-std::string WithLength(std::string frame) {
+std::string WithLength(const std::string& frame) {
   std::string bytes;
   bytes.reserve(frame.size() + sizeof(std::uint32_t));
   for (unsigned shift = 4 * kBitsPerByte; shift > 0; shift -= kBitsPerByte) {
@@ -62,11 +62,11 @@
   return self;
 }
 
-void FrameLink::Send(std::string frame) {
+void FrameLink::Send(const std::string& frame) {
   if (!up_) return;
   outgoing_bytes_ += frame.size();
   if (outgoing_bytes_ > kMaxOutgoingBytes) return Down();
-  outgoing_.push_back(WithLength(std::move(frame)));
+  outgoing_.push_back(WithLength(frame));
   if (outgoing_.size() == 1) WriteNext();
 }
 
--- a/src/shell/fleet/frame_link.h
+++ b/src/shell/fleet/frame_link.h
@@ -39,7 +39,7 @@
 
   // A frame on a link that is not up is dropped: its sender repeats what
   // matters. A peer that does not read ends the link.
-  void Send(std::string frame);
+  void Send(const std::string& frame);
   void Close();
 
   bool is_up() const { return up_; }
--- a/src/shell/gateway/connection_pool.cc
+++ b/src/shell/gateway/connection_pool.cc
@@ -60,7 +60,7 @@
   auto& idle = slot->second.idle;
   // The one that was used last is the least likely to be closed already.
   while (!idle.empty()) {
-    const auto connection = std::move(idle.back());
+    auto connection = std::move(idle.back());
     idle.pop_back();
     const bool usable = connection->is_open() &&
                         now < connection->idle_until() &&
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -223,9 +223,7 @@
   events.on_head = [self](const HttpResponse& head, const AnswerHead& facts) {
     self->OnHead(head, facts);
   };
-  events.on_body = [self](std::string bytes) {
-    self->OnBody(std::move(bytes));
-  };
+  events.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
   events.on_end = [self](ExchangeEnd end) { self->OnEnd(end); };
   return events;
 }
@@ -256,7 +254,7 @@
          boost::beast::iequals(type.substr(0, type.find(';')), kEventStream);
 }
 
-void GatewayCall::OnBody(std::string bytes) {
+void GatewayCall::OnBody(std::string_view bytes) {
   if (streaming_) return ForwardEvents(bytes);
   answer_.body += bytes;
   if (answer_.body.size() <= kMaxAnswerBytes) return;
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -70,7 +70,7 @@
   // The answer of the present leg.
   void OnUnreached();
   void OnHead(const HttpResponse& head, const AnswerHead& facts);
-  void OnBody(std::string bytes);
+  void OnBody(std::string_view bytes);
   void OnEnd(ExchangeEnd end);
   void OnStreamEnd(ExchangeEnd end, Time now);
   void ForwardEvents(std::string_view bytes);
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -163,8 +163,8 @@
   };
   // Until the head is taken, all else means a refusal.
   const auto leg = std::weak_ptr<ServerLeg>(next_leg_);
-  events.on_body = [self, leg](std::string bytes) {
-    if (self->leg_ == leg.lock()) self->OnBody(std::move(bytes));
+  events.on_body = [self, leg](std::string_view bytes) {
+    if (self->leg_ == leg.lock()) self->OnBody(bytes);
   };
   events.on_end = [self, leg](ExchangeEnd end) {
     if (self->leg_ == leg.lock()) return self->OnEnd(end);
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -135,11 +135,11 @@
       return false;
     }
     if (!had_head && parser_->is_header_done() && !OnHead()) return false;
-    std::string body = parser_->TakeBody();
+    const std::string body = parser_->TakeBody();
     if (!body.empty() && !skipping_) {
       // The exchange may be cancelled while its call is told.
       const auto handler = events_.on_body;
-      handler(std::move(body));
+      handler(body);
       if (!open_ || !busy_) return false;
     }
     if (parser_->is_done()) {
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "coltsfootfork/core/types/ids.h"
 #include "coltsfootfork/core/types/time.h"
@@ -29,7 +30,7 @@
 struct ExchangeEvents {
   std::function<void(const HttpResponse& head, const AnswerHead& facts)>
       on_head;
-  std::function<void(std::string bytes)> on_body;
+  std::function<void(std::string_view bytes)> on_body;
   // Called once, unless the exchange was cancelled.
   std::function<void(ExchangeEnd end)> on_end;
 };
--- a/src/shell/gateway/server_leg.cc
+++ b/src/shell/gateway/server_leg.cc
@@ -52,9 +52,9 @@
     const auto handler = self->events_.on_head;
     if (handler) handler(head, facts);
   };
-  events.on_body = [self = shared_from_this()](std::string bytes) {
+  events.on_body = [self = shared_from_this()](std::string_view bytes) {
     const auto handler = self->events_.on_body;
-    if (handler) handler(std::move(bytes));
+    if (handler) handler(bytes);
   };
   events.on_end = [self = shared_from_this()](ExchangeEnd end) {
     self->connection_ = nullptr;
--- a/src/shell/gateway/server_leg.h
+++ b/src/shell/gateway/server_leg.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "coltsfootfork/core/types/ids.h"
 #include "coltsfootfork/core/types/time.h"
@@ -31,7 +32,7 @@
   std::function<void()> on_unreached;
   std::function<void(const HttpResponse& head, const AnswerHead& facts)>
       on_head;
-  std::function<void(std::string bytes)> on_body;
+  std::function<void(std::string_view bytes)> on_body;
   std::function<void(ExchangeEnd end)> on_end;
 };
 
--- a/src/shell/serving/entry_gateway.h
+++ b/src/shell/serving/entry_gateway.h
@@ -34,7 +34,6 @@
   void AwaitEnd(Time end);
   bool IsReady() const;
 
-  boost::asio::io_context& io_;
   ServingSettings settings_;
   PlanReader read_plan_;
   Gateway gateway_;
--- a/src/shell/serving/serving_process.h
+++ b/src/shell/serving/serving_process.h
@@ -38,7 +38,6 @@
   void WatchFile();
   void ReadAgain();
 
-  boost::asio::io_context& io_;
   std::string settings_path_;
   std::string settings_text_;
   Events events_;
--- a/tests/core/fleet/server_directory_test.cc
+++ b/tests/core/fleet/server_directory_test.cc
@@ -33,8 +33,7 @@
 BOOST_AUTO_TEST_CASE(LeavingIsNotTakenBackByALateHeartbeat) {
   ServerDirectory directory;
   directory.Merge(Record("a", 1, 1), kNow);
-  BOOST_TEST(
-      directory.Merge(Record("a", 1, 3, ServerState::kDraining), kNow));
+  BOOST_TEST(directory.Merge(Record("a", 1, 3, ServerState::kDraining), kNow));
   BOOST_TEST(!directory.Merge(Record("a", 1, 2), kNow));
   // Not even by one with a higher number.
   BOOST_TEST(!directory.Merge(Record("a", 1, 4), kNow));
@@ -44,8 +43,7 @@
 BOOST_AUTO_TEST_CASE(AnOvertakenNoticeOfLeavingStillCounts) {
   ServerDirectory directory;
   directory.Merge(Record("a", 1, 5), kNow);
-  BOOST_TEST(
-      directory.Merge(Record("a", 1, 4, ServerState::kDraining), kNow));
+  BOOST_TEST(directory.Merge(Record("a", 1, 4, ServerState::kDraining), kNow));
   BOOST_CHECK(StateOf(directory, "a") == ServerState::kDraining);
 }
 
