replication: Name a replica a voter once its place is committed

Trace: the leader's status named the new replica a voter from the moment the joint entry was appended; the test, as an operator would, lost the leader on that word; the others held entry 4 (learner) only, old majority two of three with one left, and no leader could be elected for good. Ruled out: the processes (both answer, links are up), elections (no candidate can win under that membership). The test AReplacementCountsOnceItsPlaceIsCommitted fails on membership().IsVoter, which the status used.

--- a/include/coltsfootfork/core/replication/replica.h
+++ b/include/coltsfootfork/core/replication/replica.h
@@ -58,6 +58,10 @@
   // The members of the latest membership entry, committed or not.
   const Membership& membership() const;
   std::vector<ProcessId> voters() const;
+  // Whether the replica counts as a voter for good: the entry that says so is
+  // committed, and no change of it is under way. Until then the loss of another
+  // voter may end the group.
+  bool IsSettledVoter(const ReplicaId& id) const;
 
   // True only for a leader that may act and serve current reads at `now`: no
   // other replica can be elected before the lease is over, and everything
--- a/src/core/replication/replica.cc
+++ b/src/core/replication/replica.cc
@@ -242,6 +242,13 @@
   return voters;
 }
 
+bool Replica::IsSettledVoter(const ReplicaId& id) const {
+  const ReplicaState& state = impl_->state();
+  const Membership committed = state.log.MembershipAt(state.commit);
+  const Member* member = committed.Find(id);
+  return member != nullptr && member->role == MemberRole::kVoter;
+}
+
 bool Replica::HoldsLease(Time now) const {
   return impl_->state().IsLeader() && impl_->leadership().HoldsLease(now);
 }
--- a/src/shell/process/control_role.cc
+++ b/src/shell/process/control_role.cc
@@ -145,7 +145,7 @@
   view.term = replica.term();
   for (const Member& member : replica.membership().members) {
     view.replicas.push_back({member.id.process, member.id.incarnation,
-                             replica.membership().IsVoter(member.id)});
+                             replica.IsSettledVoter(member.id)});
   }
   return view;
 }
--- a/tests/core/replication/replica_test.cc
+++ b/tests/core/replication/replica_test.cc
@@ -254,6 +254,37 @@
   BOOST_TEST(cluster.voter_changes() == 2U);
 }
 
+// Seen with real processes: the status named a replica a voter whose place was
+// not committed, the leader was lost on that word, and the group with it.
+BOOST_AUTO_TEST_CASE(AReplacementCountsOnceItsPlaceIsCommitted) {
+  Cluster cluster(4, {0, 1, 2}, {}, 5);
+  for (std::size_t i = 0; i < 4; ++i) cluster.Start(i);
+  cluster.RunFor(seconds(5));
+  const std::size_t leader = cluster.LeaseHolder();
+  const std::size_t dead = leader == 0 ? 1 : 0;
+  cluster.Crash(dead);
+  const ReplicaId joining = cluster.node(3).replica->self();
+  const ReplicaId dead_id{cluster.node(dead).process,
+                          cluster.node(dead).disk.synced().incarnation};
+  cluster.Input(
+      leader,
+      ChangeVoter{VoterChangeKind::kAddLearner, joining, ZoneId("zone-0"), {}});
+  cluster.RunFor(seconds(1));
+  const Replica& replica = *cluster.node(leader).replica;
+  BOOST_TEST(!replica.IsSettledVoter(joining));
+  cluster.Input(leader, ChangeVoter{VoterChangeKind::kReplace, joining,
+                                    ZoneId("zone-0"), dead_id});
+  // Appended, and committed by nobody yet.
+  BOOST_TEST(replica.membership().IsVoter(joining));
+  BOOST_TEST(!replica.IsSettledVoter(joining));
+  cluster.RunFor(seconds(3));
+  BOOST_TEST(replica.IsSettledVoter(joining));
+  BOOST_TEST(!replica.IsSettledVoter(dead_id));
+  cluster.Crash(leader);
+  cluster.RunFor(seconds(8));
+  BOOST_TEST(cluster.LeaseHolder() < cluster.size());
+}
+
 // Founders may start in any order; an emptied one must not found a group of
 // its own beside the one that exists.
 BOOST_AUTO_TEST_CASE(AnEmptiedFounderFindsTheGroupInsteadOfFoundingAnother) {
