gateway: Share the plan's index among calls

Cause: found reading the change: each call copied the whole index of the plan; with 400 routes some 80 KB a call by estimate, which counts against an entry's memory while calls are open. Change: calls share the index that they began under. Behaviour is the same; gateway and platform tests pass.

--- a/include/coltsfootfork/core/gateway/plan_index.h
+++ b/include/coltsfootfork/core/gateway/plan_index.h
@@ -12,8 +12,8 @@
 
 namespace coltsfootfork {
 
-// A routing plan with what each call looks up in it. Copies share the plan, so
-// that a call keeps the one it began under.
+// A routing plan with what each call looks up in it. It is large: calls share
+// the one that they began under.
 class PlanIndex {
  public:
   // An empty plan, of version 0.
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -24,7 +24,7 @@
     : context_(io, protocol, std::move(options), seed), wait_timer_(io) {}
 
 void Gateway::SetPlan(std::shared_ptr<const RoutingPlan> plan) {
-  context_.plan = PlanIndex(std::move(plan));
+  context_.plan = std::make_shared<const PlanIndex>(std::move(plan));
 }
 
 void Gateway::FollowServers(const ServerDirectory& directory, Time now) {
@@ -52,7 +52,7 @@
   }
   const ServerRecord* record = context_.board.Find(server);
   if (moving.empty() || record == nullptr) return;
-  const PlanService* service = context_.plan.FindService(record->service);
+  const PlanService* service = context_.plan->FindService(record->service);
   const auto endpoint = ParseEndpoint(record->address);
   if (service == nullptr || !service->engine || !endpoint) return;
   HttpFetch(
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -26,8 +26,8 @@
 
   // Calls under way keep the plan that they began under.
   void SetPlan(std::shared_ptr<const RoutingPlan> plan);
-  PlanVersion plan_version() const { return context_.plan.plan().version; }
-  const PlanLimits& limits() const { return context_.plan.plan().limits; }
+  PlanVersion plan_version() const { return context_.plan->plan().version; }
+  const PlanLimits& limits() const { return context_.plan->plan().limits; }
 
   void FollowServers(const ServerDirectory& directory, Time now);
   // What the other entries' calls take of the servers.
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -83,20 +83,20 @@
 }
 
 std::optional<GatewayCall::Refusal> GatewayCall::FindRoute() {
-  if (plan_.plan().version == 0) {
+  if (plan_->plan().version == 0) {
     return Refusal{CallOutcome::kNoPlan, 503, kRetryAfterNoPlan};
   }
-  route_ = plan_.FindRoute(request_.Field("Host"), request_.target);
+  route_ = plan_->FindRoute(request_.Field("Host"), request_.target);
   if (route_ == nullptr) {
     return Refusal{CallOutcome::kNoRoute, 404, std::nullopt};
   }
-  rank_ = plan_.RankOf(*route_, nullptr);
-  if (route_->is_public || !plan_.plan().needs_keys) return std::nullopt;
-  workspace_ = plan_.FindWorkspace(head_.key);
+  rank_ = plan_->RankOf(*route_, nullptr);
+  if (route_->is_public || !plan_->plan().needs_keys) return std::nullopt;
+  workspace_ = plan_->FindWorkspace(head_.key);
   if (workspace_ == nullptr) {
     return Refusal{CallOutcome::kUnknownKey, 401, std::nullopt};
   }
-  rank_ = plan_.RankOf(*route_, workspace_);
+  rank_ = plan_->RankOf(*route_, workspace_);
   return std::nullopt;
 }
 
@@ -106,7 +106,7 @@
     weights.push_back(one.weight);
   }
   std::discrete_distribution<std::size_t> lot(weights.begin(), weights.end());
-  service_ = plan_.FindService(route_->services[lot(context_.random)].service);
+  service_ = plan_->FindService(route_->services[lot(context_.random)].service);
   if (!service_->engine) return;
   const std::uint64_t output =
       std::min(head_.max_output_tokens,
@@ -429,7 +429,7 @@
        {"pause_ms", std::to_string(ToMilliseconds(longest_pause_))},
        {"event", std::to_string(last_event_.value_or(0))},
        {"tokens", std::to_string(tokens_)},
-       {"plan", std::to_string(plan_.plan().version)}});
+       {"plan", std::to_string(plan_->plan().version)}});
   if (ticket_) {
     context_.waiting_room.Leave(*ticket_);
     context_.waiting_calls.erase(*ticket_);
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -115,7 +115,7 @@
   Time patience_end_;
 
   // The plan that was in force when the call came.
-  PlanIndex plan_;
+  std::shared_ptr<const PlanIndex> plan_;
   CallHead head_;
   const PlanRoute* route_ = nullptr;
   const PlanWorkspace* workspace_ = nullptr;
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -46,7 +46,8 @@
   boost::asio::io_context& io;
   const CallProtocol& protocol;
   GatewayOptions options;
-  PlanIndex plan;
+  // Shared with the calls that began under it.
+  std::shared_ptr<const PlanIndex> plan = std::make_shared<const PlanIndex>();
   ServerBoard board;
   RepeatBudget budget;
   ConnectionPool pool;
