replica: Open, write and log a replica's folder in one place

Cause: replica_host and control_role each had their own copy. Change: shell/replica/replica_disk serves both.

--- a/src/shell/fleet/replica_host.cc
+++ b/src/shell/fleet/replica_host.cc
@@ -7,6 +7,7 @@
 #include "coltsfootfork/core/replication/replica_codec.h"
 #include "shell/clock/monotonic_now.h"
 #include "shell/log/event.h"
+#include "shell/replica/replica_disk.h"
 
 namespace coltsfootfork {
 namespace {
@@ -23,46 +24,6 @@
 // An empty successor may take the place of a voter that was silent for so long.
 constexpr milliseconds kDeadAfter{2500};
 
-void LogStorageError(const StorageError& error) {
-  Log(LogLevel::kError, Event::kStorageFailed,
-      {{"place", error.place}, {"problem", error.problem}});
-}
-
-std::unique_ptr<DiskLog> OpenDisk(const std::string& folder,
-                                  bool refuse_copies) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<std::unique_ptr<DiskLog>> {
-        DiskLogOptions options;
-        options.folder = folder;
-        options.refuse_copies = refuse_copies;
-        return DiskLog::Open(std::move(options));
-      },
-      [](const StorageError& error) -> std::unique_ptr<DiskLog> {
-        LogStorageError(error);
-        return nullptr;
-      },
-      [&]() -> std::unique_ptr<DiskLog> {
-        LogStorageError({folder, "cannot be opened"});
-        return nullptr;
-      });
-}
-
-bool WriteToDisk(DiskLog& disk, const Persist& persist) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<bool> {
-        BOOST_LEAF_CHECK(disk.Write(persist));
-        return true;
-      },
-      [](const StorageError& error) {
-        LogStorageError(error);
-        return false;
-      },
-      [] {
-        LogStorageError({"data folder", "cannot be written"});
-        return false;
-      });
-}
-
 }  // namespace
 
 ReplicaHost::ReplicaHost(ReplicaHostOptions options, PlanRegister& machine,
@@ -78,7 +39,10 @@
 }
 
 void ReplicaHost::Open(Time now) {
-  disk_ = OpenDisk(options_.data_folder, options_.refuse_copies);
+  DiskLogOptions disk_options;
+  disk_options.folder = options_.data_folder;
+  disk_options.refuse_copies = options_.refuse_copies;
+  disk_ = OpenReplicaDisk(disk_options, nullptr);
   if (!disk_) {
     reopen_at_ = now + kReopenPause;
     return;
@@ -214,7 +178,7 @@
 }
 
 void ReplicaHost::CarryOut(const Persist& effect) {
-  if (WriteToDisk(*disk_, effect)) {
+  if (WriteToReplicaDisk(*disk_, effect)) {
     inputs_.emplace_back(PersistDone{effect.token});
   } else {
     inputs_.emplace_back(PersistFailed{effect.token});
@@ -230,23 +194,8 @@
 }
 
 void ReplicaHost::CarryOut(const LogEvent& effect) {
-  const std::string term = std::to_string(effect.term);
-  switch (effect.kind) {
-    case ReplicaEventKind::kLeaderElected:
-      return Log(LogLevel::kInfo, Event::kBecameLeader,
-                 {{"leader", effect.process.value()}, {"term", term}});
-    case ReplicaEventKind::kLeaderLost:
-      return Log(LogLevel::kInfo, Event::kLostLeadership, {{"term", term}});
-    case ReplicaEventKind::kHalted:
-      halted_ = true;
-      return Log(LogLevel::kError, Event::kReplicaFailed, {{"term", term}});
-    default:
-      return Log(LogLevel::kInfo, Event::kReplicaChanged,
-                 {{"kind", std::to_string(static_cast<int>(effect.kind))},
-                  {"term", term},
-                  {"index", std::to_string(effect.index)},
-                  {"replica", effect.process.value()}});
-  }
+  if (effect.kind == ReplicaEventKind::kHalted) halted_ = true;
+  LogReplicaEvent(effect);
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/process/control_role.cc
+++ b/src/shell/process/control_role.cc
@@ -9,6 +9,7 @@
 #include "coltsfootfork/core/control_state/control_codec.h"
 #include "coltsfootfork/core/replication/replica_codec.h"
 #include "shell/log/event.h"
+#include "shell/replica/replica_disk.h"
 
 namespace coltsfootfork {
 namespace {
@@ -24,36 +25,12 @@
 }
 
 std::unique_ptr<DiskLog> OpenDisk(const std::string& folder) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<std::unique_ptr<DiskLog>> {
-        DiskLogOptions options;
-        options.folder = folder;
-        return DiskLog::Open(std::move(options));
-      },
-      [](const StorageError& error) -> std::unique_ptr<DiskLog> {
-        throw std::runtime_error(error.place + ": " + error.problem);
-      },
-      [&]() -> std::unique_ptr<DiskLog> {
-        throw std::runtime_error(folder + ": cannot be opened");
-      });
-}
-
-// True when the write is synced; else the fault is logged.
-bool WriteToDisk(DiskLog& disk, const Persist& persist) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<bool> {
-        BOOST_LEAF_CHECK(disk.Write(persist));
-        return true;
-      },
-      [](const StorageError& error) {
-        Log(LogLevel::kError, Event::kStorageFailed,
-            {{"place", error.place}, {"problem", error.problem}});
-        return false;
-      },
-      [] {
-        Log(LogLevel::kError, Event::kStorageFailed, {});
-        return false;
-      });
+  DiskLogOptions options;
+  options.folder = folder;
+  StorageError error;
+  auto disk = OpenReplicaDisk(options, &error);
+  if (!disk) throw std::runtime_error(error.place + ": " + error.problem);
+  return disk;
 }
 
 ReplicaOptions MakeOptions(const Settings& settings) {
@@ -196,7 +173,7 @@
 }
 
 void ControlRole::CarryOut(const Persist& effect) {
-  if (WriteToDisk(*disk_, effect)) {
+  if (WriteToReplicaDisk(*disk_, effect)) {
     Input(PersistDone{effect.token});
   } else {
     Input(PersistFailed{effect.token});
@@ -216,24 +193,7 @@
   SendOn(call.peer, call.call);
 }
 
-void ControlRole::CarryOut(const LogEvent& effect) {
-  const std::string term = std::to_string(effect.term);
-  switch (effect.kind) {
-    case ReplicaEventKind::kLeaderElected:
-      return Log(LogLevel::kInfo, Event::kBecameLeader,
-                 {{"leader", effect.process.value()}, {"term", term}});
-    case ReplicaEventKind::kLeaderLost:
-      return Log(LogLevel::kInfo, Event::kLostLeadership, {{"term", term}});
-    case ReplicaEventKind::kHalted:
-      return Log(LogLevel::kError, Event::kReplicaFailed, {{"term", term}});
-    default:
-      return Log(LogLevel::kInfo, Event::kReplicaChanged,
-                 {{"kind", std::to_string(static_cast<int>(effect.kind))},
-                  {"term", term},
-                  {"index", std::to_string(effect.index)},
-                  {"replica", effect.process.value()}});
-  }
-}
+void ControlRole::CarryOut(const LogEvent& effect) { LogReplicaEvent(effect); }
 
 void ControlRole::AnnounceRevision() {
   const Revision revision = machine_.state().revision();
