--- a/include/coltsfootfork/core/gateway/gateway_metrics.h
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -44,7 +44,6 @@
   kCarriedByMove,
   kCarryRefused,
   kCarryLost,
-  kLogLinesDropped,
 };
 
 // The gateway's counters and its latency, as text for a metrics page.
--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -34,8 +34,6 @@
       return "carry_refused";
     case GatewayCount::kCarryLost:
       return "carry_lost";
-    case GatewayCount::kLogLinesDropped:
-      return "log_lines_dropped";
   }
   return "unknown";
 }
--- a/src/shell/gateway/call_protocol.h
+++ b/src/shell/gateway/call_protocol.h
@@ -105,8 +105,6 @@
   // Nothing where the answer cannot be read.
   virtual std::optional<std::vector<RunningCall>> ReadRuns(
       const HttpResponse& answer) const = 0;
-  // Frees a copy that is not needed any more, asked of its source.
-  virtual HttpRequest WriteRelease(const std::string& handle) const = 0;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -22,7 +22,6 @@
 constexpr milliseconds kFreshIdle{1000};
 constexpr int kFirstFailure = 300;
 constexpr int kFirstServerError = 500;
-constexpr int kMisdirected = 421;
 
 milliseconds AsMilliseconds(Duration duration) {
   return milliseconds(ToMilliseconds(duration));
@@ -125,18 +124,18 @@
   });
 }
 
-ServerQuery GatewayCall::QueryFor(std::uint64_t tokens) const {
+ServerQuery GatewayCall::QueryForServer() const {
   ServerQuery query;
   query.service = service_->name;
   query.engine = service_->engine ? &*service_->engine : nullptr;
-  query.tokens = tokens;
+  query.tokens = tokens_;
   query.excluded = tried_;
   query.fill = FillOfRank(rank_);
   return query;
 }
 
 void GatewayCall::SendToBest(Time now) {
-  const auto choice = context_.board.Pick(QueryFor(tokens_), now);
+  const auto choice = context_.board.Pick(QueryForServer(), now);
   if (!choice) {
     if (sends_ > 0 || ran_) return AfterSend(SendEnd::kNeverSent, now);
     return Refuse({CallOutcome::kNoServer, 503, kRetryAfterRefusal});
@@ -161,7 +160,7 @@
 }
 
 bool GatewayCall::TryFromWaiting(Time now) {
-  const auto choice = context_.board.Pick(QueryFor(tokens_), now);
+  const auto choice = context_.board.Pick(QueryForServer(), now);
   if (!choice || !choice->fits) return false;
   ticket_.reset();
   SendTo(*choice, now);
@@ -171,7 +170,7 @@
 void GatewayCall::OnWaitedInVain() {
   ticket_.reset();
   const Time now = MonotonicNow();
-  const auto choice = context_.board.Pick(QueryFor(tokens_), now);
+  const auto choice = context_.board.Pick(QueryForServer(), now);
   // The most urgent go first: the engine preempts others for them.
   if (choice && rank_ == 0) return SendTo(*choice, now);
   Refuse({CallOutcome::kNoRoom, 503, RetryAfterNoRoom(patience_end_ - now)});
@@ -297,9 +296,7 @@
     context_.board.OnAnswered(server, /*failed=*/true);
     return AfterSend(SendEnd::kBroken, now);
   }
-  if (answer_facts_.not_run || answer_.status == kMisdirected) {
-    return AfterSend(SendEnd::kNotRun, now);
-  }
+  if (answer_facts_.not_run) return AfterSend(SendEnd::kNotRun, now);
   const bool ours = answer_facts_.id == head_.id;
   const bool success = answer_.status < kFirstFailure;
   if (!ours || (success && !answer_facts_.has_signature)) {
@@ -336,7 +333,7 @@
   facts.answer_begun = answer_begun_;
   facts.deadline = deadline_;
   facts.budget_allows = context_.budget.MayRepeat(service_->name, now);
-  facts.others_left = context_.board.Pick(QueryFor(tokens_), now).has_value();
+  facts.others_left = context_.board.Pick(QueryForServer(), now).has_value();
   return facts;
 }
 
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -63,7 +63,7 @@
   void ChooseBackup(LegPlan& leg, Time now);
   std::string WriteRequest(const LegPlan& leg,
                            const std::optional<CarrySource>& carry);
-  ServerQuery QueryFor(std::uint64_t tokens) const;
+  ServerQuery QueryForServer() const;
   void AfterSend(SendEnd end, Time now);
   CallFacts FactsAt(Time now);
 
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -11,6 +11,7 @@
 
 // Targets that one stream's move is tried with.
 constexpr std::uint32_t kMoveTries = 4;
+
 const char* MoveEndName(MoveEnd end) {
   switch (end) {
     case MoveEnd::kDone:
@@ -35,7 +36,7 @@
       service_->engine && service_->engine->backups &&
       route_->kind == CallKind::kStreaming && !route_->MayRepeat();
   if (!wanted) return;
-  ServerQuery query = QueryFor(tokens_);
+  ServerQuery query = QueryForServer();
   query.fill = context_.options.backup_fill;
   query.excluded.insert(leg.server);
   const auto choice = context_.board.Pick(query, now);
@@ -93,7 +94,7 @@
   const bool may_move = service_->engine->moves && !leg_ended_ && !move_ &&
                         move_tries_ < kMoveTries;
   if (!may_move) return;
-  ServerQuery query = QueryFor(tokens_);
+  ServerQuery query = QueryForServer();
   query.fill = 1.0;
   const ServerId& source = leg_->plan().server;
   query.excluded.insert(source);
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -1,7 +1,5 @@
 #include "shell/gateway/server_connection.h"
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
