--- a/include/coltsfootfork/core/fleet/fleet_message.h
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -7,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "coltsfootfork/core/fleet/keyed_load.h"
 #include "coltsfootfork/core/fleet/memory_demand.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/server_load.h"
@@ -24,6 +26,7 @@
 
 // What one control process knows, told to all others a few times a second.
 struct ControlDigest {
+  ZoneId zone;
   bool has_disk = false;
   // It has a disk without any group's state, at the fleet's first start.
   bool may_found = false;
@@ -32,16 +35,12 @@
   std::vector<std::string> voters;
   // Empty while no leader is known.
   std::string leader;
-  // All control processes that it has heard of lately.
+  // All control processes that it has heard of lately; most digests leave them
+  // out.
   std::vector<std::string> peers;
   std::uint64_t directory_digest = 0;
   // The newest committed routing plan that it holds.
   std::uint64_t plan_version = 0;
-  // Entries that report their load here, and the sums of it and of what their
-  // calls want beyond it.
-  std::uint32_t entries = 0;
-  std::vector<NamedLoad> load;
-  std::vector<NamedDemand> demand;
 };
 
 struct ReplicaPayload {
@@ -57,8 +56,11 @@
 struct DirectoryAck {
   std::uint64_t token = 0;
 };
-// Asks for all records.
-struct DirectoryAsk {};
+// Asks for the records of the parts of the directory in which the receiver
+// differs; for all where no digests are given.
+struct DirectoryAsk {
+  std::vector<std::uint64_t> parts;
+};
 
 // Asks for the routing plan.
 struct PlanAsk {};
@@ -84,6 +86,8 @@
 
 // An entry's state, told to the control processes that it follows.
 struct EntryReport {
+  // Rises with each report over a link.
+  std::uint64_t number = 0;
   // The entry counts, and its load, at one control process only.
   bool is_primary = false;
   std::uint64_t plan_version = 0;
@@ -99,17 +103,40 @@
   bool is_current = false;
   std::uint64_t plan_version = 0;
   std::uint64_t directory_digest = 0;
+  // The entry's report that the sums told last include; zero for none.
+  std::uint64_t report = 0;
+};
+
+// What entries' calls take, and what they want beyond it, told when it changes.
+// A control process tells the others about those that report to it, and its
+// entries about all; these take their own part out.
+struct FleetUse {
   std::uint32_t entries = 0;
-  // What the other entries' calls take, and what they want beyond it.
-  std::vector<NamedLoad> others;
-  std::vector<NamedDemand> others_demand;
-  std::vector<std::string> peers;
+  // All of it, or what has changed since the message before.
+  bool is_whole = false;
+  LoadNumbers load;
+  std::vector<NamedDemand> demand;
+};
+
+// A control process that an entry may follow.
+struct ControlPeer {
+  std::string address;
+  ZoneId zone;
+  bool has_disk = false;
+};
+// All that are live, told to entries now and then.
+struct PeerList {
+  std::vector<ControlPeer> peers;
 };
 
 using FleetMessage =
     std::variant<Hello, ControlDigest, ReplicaPayload, DirectoryNews,
                  DirectoryAck, DirectoryAsk, PlanAsk, PlanDocument,
-                 RelayRequest, RelayReply, EntryReport, EntryUpdate>;
+                 RelayRequest, RelayReply, EntryReport, EntryUpdate, FleetUse,
+                 PeerList>;
+
+// The name of the kind of message with that index among the alternatives.
+std::string_view FleetMessageName(std::size_t kind);
 
 // As CBOR: a map with the kind's name and its fields.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- /dev/null
+++ b/include/coltsfootfork/core/fleet/load_feed.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <optional>
+
+#include "coltsfootfork/core/fleet/fleet_message.h"
+
+namespace coltsfootfork {
+
+// What entries take and want together, and how many there are.
+struct UseSum {
+  std::uint32_t entries = 0;
+  KeyedLoad load;
+  FleetDemand demand;
+};
+
+void AddUse(UseSum& sum, const UseSum& more);
+
+// The side that tells: what has changed since it was told last.
+class LoadFeed {
+ public:
+  // Takes the sum of now over. Nothing where it is as it was.
+  std::optional<FleetUse> Next(const UseSum& sum);
+  // All of what was told last, for a receiver that has heard nothing yet.
+  FleetUse Whole() const;
+
+ private:
+  UseSum told_;
+};
+
+// The side that hears.
+class HeardUse {
+ public:
+  // False where the message cannot be read.
+  bool Take(const FleetUse& use);
+  const UseSum& sum() const { return sum_; }
+
+ private:
+  UseSum sum_;
+};
+
+}  // namespace coltsfootfork
--- a/include/coltsfootfork/core/fleet/server_directory.h
+++ b/include/coltsfootfork/core/fleet/server_directory.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,8 @@
   // Takes a record over. True when it says something new: an incarnation, an
   // address or a state, not just a later heartbeat.
   bool Merge(const ServerRecord& record, Time now);
+  // The incarnation has begun to leave. True when that is news.
+  bool MarkLeaving(const ServerId& id, std::uint64_t born, Time now);
   // The incarnation has left. Of an unknown server a trace is kept, so that a
   // late heartbeat does not bring it back; `born` zero means any incarnation
   // that is known now.
@@ -60,19 +64,36 @@
   const Entry* Find(const ServerId& id) const;
   const std::map<ServerId, Entry>& entries() const { return entries_; }
   std::vector<ServerRecord> Records() const;
+  // Of the parts that differ from those of the digests; all where there are not
+  // as many digests as parts.
+  std::vector<ServerRecord> RecordsBeside(
+      const std::vector<std::uint64_t>& parts) const;
+  // Digests of the parts into which the records fall by their names.
+  std::vector<std::uint64_t> PartDigests() const {
+    return {parts_.begin(), parts_.end()};
+  }
   // Equal where two directories hold the same incarnations, addresses and
   // states of servers that have not left.
   std::uint64_t digest() const { return digest_; }
 
  private:
+  // Few records differ between two directories: with so many parts most of
+  // those that are told are.
+  static constexpr std::size_t kParts = 64;
+
+  static std::size_t PartOf(const ServerId& id);
   void Put(const ServerRecord& record, Time now);
+  void ToggleDigest(const ServerRecord& record);
   // A later incarnation serves at the record's address.
   bool IsSuperseded(const ServerRecord& record) const;
   // The incarnation before at the address has ended.
   void SupersedeAddress(const ServerRecord& record, Time now);
 
   std::map<ServerId, Entry> entries_;
+  // Who has, or had, each address.
+  std::map<std::string, std::set<ServerId>> by_address_;
   std::uint64_t digest_ = 0;
+  std::array<std::uint64_t, kParts> parts_{};
 };
 
 }  // namespace coltsfootfork
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -47,6 +47,7 @@
 
 template <typename A>
 void Fields(A& archive, ControlDigest& m) {
+  archive("zone", m.zone);
   archive("has_disk", m.has_disk);
   archive("may_found", m.may_found);
   archive("founders", m.founders);
@@ -55,9 +56,6 @@
   archive("peers", m.peers);
   archive("directory", m.directory_digest);
   archive("plan", m.plan_version);
-  archive("entries", m.entries);
-  archive("load", m.load);
-  archive("demand", m.demand);
 }
 
 template <typename A>
@@ -77,7 +75,9 @@
 }
 
 template <typename A>
-void Fields(A& /*archive*/, DirectoryAsk& /*m*/) {}
+void Fields(A& archive, DirectoryAsk& m) {
+  archive("parts", m.parts);
+}
 
 template <typename A>
 void Fields(A& /*archive*/, PlanAsk& /*m*/) {}
@@ -104,6 +104,7 @@
 
 template <typename A>
 void Fields(A& archive, EntryReport& m) {
+  archive("number", m.number);
   archive("is_primary", m.is_primary);
   archive("plan", m.plan_version);
   archive("directory", m.directory_digest);
@@ -116,9 +117,26 @@
   archive("is_current", m.is_current);
   archive("plan", m.plan_version);
   archive("directory", m.directory_digest);
+  archive("report", m.report);
+}
+
+template <typename A>
+void Fields(A& archive, FleetUse& m) {
   archive("entries", m.entries);
-  archive("others", m.others);
-  archive("others_demand", m.others_demand);
+  archive("whole", m.is_whole);
+  archive("load", m.load);
+  archive("demand", m.demand);
+}
+
+template <typename A>
+void Fields(A& archive, ControlPeer& m) {
+  archive("address", m.address);
+  archive("zone", m.zone);
+  archive("has_disk", m.has_disk);
+}
+
+template <typename A>
+void Fields(A& archive, PeerList& m) {
   archive("peers", m.peers);
 }
 
--- a/src/core/fleet/fleet_message.cc
+++ b/src/core/fleet/fleet_message.cc
@@ -16,7 +16,8 @@
 constexpr std::array<const char*, std::variant_size_v<FleetMessage>> kTypes = {
     "hello",         "control_digest", "replica",      "directory_news",
     "directory_ack", "directory_ask",  "plan_ask",     "plan_document",
-    "relay_request", "relay_reply",    "entry_report", "entry_update"};
+    "relay_request", "relay_reply",    "entry_report", "entry_update",
+    "fleet_use",     "peer_list"};
 
 template <std::size_t kIndex>
 std::optional<FleetMessage> ReadAlternative(const Json& json) {
@@ -39,6 +40,8 @@
 
 }  // namespace
 
+std::string_view FleetMessageName(std::size_t kind) { return kTypes.at(kind); }
+
 std::string EncodeFleetMessage(const FleetMessage& message) {
   FleetMessage copy = message;
   Json json = std::visit([](auto& one) { return WriteField(one); }, copy);
--- /dev/null
+++ b/src/core/fleet/keyed_load.cc
@@ -0,0 +1,102 @@
+#include "coltsfootfork/core/fleet/keyed_load.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfootfork {
+namespace {
+
+constexpr std::size_t kNumbersOfOne = 4;
+
+bool IsNothing(const ServerLoad& load) {
+  return load.calls == 0 && load.tokens == 0 && load.unread == 0;
+}
+
+bool IsSame(const ServerLoad& a, const ServerLoad& b) {
+  return a.calls == b.calls && a.tokens == b.tokens && a.unread == b.unread;
+}
+
+}  // namespace
+
+ServerKey KeyOf(const ServerId& server) {
+  const std::string& text = server.value();
+  return XXH32(text.data(), text.size(), 0);
+}
+
+KeyedLoad ToKeyed(const FleetLoad& load) {
+  KeyedLoad keyed;
+  for (const auto& [server, one] : load) {
+    AddLoad(keyed, {{KeyOf(server), one}});
+  }
+  return keyed;
+}
+
+void AddLoad(KeyedLoad& sum, const KeyedLoad& more) {
+  for (const auto& [key, load] : more) {
+    ServerLoad& one = sum[key];
+    one.calls += load.calls;
+    one.tokens += load.tokens;
+    one.unread += load.unread;
+  }
+}
+
+void TakeLoad(KeyedLoad& sum, const KeyedLoad& part) {
+  for (const auto& [key, load] : part) {
+    const auto found = sum.find(key);
+    if (found == sum.end()) continue;
+    ServerLoad& one = found->second;
+    one.calls -= std::min(one.calls, load.calls);
+    one.tokens -= std::min(one.tokens, load.tokens);
+    one.unread -= std::min(one.unread, load.unread);
+  }
+}
+
+KeyedLoad ChangesOf(const KeyedLoad& before, const KeyedLoad& after) {
+  KeyedLoad changes;
+  for (const auto& [key, load] : after) {
+    const auto found = before.find(key);
+    const bool same =
+        found == before.end() ? IsNothing(load) : IsSame(found->second, load);
+    if (!same) changes[key] = load;
+  }
+  for (const auto& [key, load] : before) {
+    if (after.count(key) == 0 && !IsNothing(load)) changes[key] = ServerLoad();
+  }
+  return changes;
+}
+
+void ApplyChanges(KeyedLoad& load, const KeyedLoad& changes) {
+  for (const auto& [key, one] : changes) {
+    if (IsNothing(one)) {
+      load.erase(key);
+    } else {
+      load[key] = one;
+    }
+  }
+}
+
+LoadNumbers ToNumbers(const KeyedLoad& load) {
+  LoadNumbers numbers;
+  numbers.reserve(kNumbersOfOne * load.size());
+  for (const auto& [key, one] : load) {
+    numbers.insert(numbers.end(), {key, one.calls, one.tokens, one.unread});
+  }
+  return numbers;
+}
+
+std::optional<KeyedLoad> FromNumbers(const LoadNumbers& numbers) {
+  if (numbers.size() % kNumbersOfOne != 0) return std::nullopt;
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  KeyedLoad load;
+  for (std::size_t i = 0; i < numbers.size(); i += kNumbersOfOne) {
+    if (numbers[i] > kMost || numbers[i + 1] > kMost) return std::nullopt;
+    load[static_cast<ServerKey>(numbers[i])] = {
+        static_cast<std::uint32_t>(numbers[i + 1]), numbers[i + 2],
+        numbers[i + 3]};
+  }
+  return load;
+}
+
+}  // namespace coltsfootfork
--- /dev/null
+++ b/src/core/fleet/load_feed.cc
@@ -0,0 +1,36 @@
+#include "coltsfootfork/core/fleet/load_feed.h"
+
+namespace coltsfootfork {
+
+void AddUse(UseSum& sum, const UseSum& more) {
+  sum.entries += more.entries;
+  AddLoad(sum.load, more.load);
+  AddDemand(sum.demand, more.demand);
+}
+
+std::optional<FleetUse> LoadFeed::Next(const UseSum& sum) {
+  const KeyedLoad changes = ChangesOf(told_.load, sum.load);
+  const bool same = changes.empty() && sum.demand == told_.demand &&
+                    sum.entries == told_.entries;
+  if (same) return std::nullopt;
+  told_ = sum;
+  return FleetUse{sum.entries, /*is_whole=*/false, ToNumbers(changes),
+                  ToList(sum.demand)};
+}
+
+FleetUse LoadFeed::Whole() const {
+  return {told_.entries, /*is_whole=*/true, ToNumbers(told_.load),
+          ToList(told_.demand)};
+}
+
+bool HeardUse::Take(const FleetUse& use) {
+  const auto load = FromNumbers(use.load);
+  if (!load) return false;
+  if (use.is_whole) sum_.load.clear();
+  ApplyChanges(sum_.load, *load);
+  sum_.demand = ToFleetDemand(use.demand);
+  sum_.entries = use.entries;
+  return true;
+}
+
+}  // namespace coltsfootfork
--- a/src/core/fleet/server_directory.cc
+++ b/src/core/fleet/server_directory.cc
@@ -68,6 +68,17 @@
   return true;
 }
 
+bool ServerDirectory::MarkLeaving(const ServerId& id, std::uint64_t born,
+                                  Time now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.record.born != born) {
+    return false;
+  }
+  ServerRecord leaving = found->second.record;
+  leaving.state = std::max(leaving.state, ServerState::kDraining);
+  return Merge(leaving, now);
+}
+
 bool ServerDirectory::MarkGone(const ServerId& id, std::uint64_t born,
                                Time now) {
   const auto found = entries_.find(id);
@@ -93,6 +104,9 @@
     ServerRecord& record = entry->second.record;
     const bool gone = record.state == ServerState::kGone;
     if (gone && now >= entry->second.changed + kKeepGone) {
+      const auto at = by_address_.find(record.address);
+      at->second.erase(entry->first);
+      if (at->second.empty()) by_address_.erase(at);
       entry = entries_.erase(entry);
       continue;
     }
@@ -117,27 +131,61 @@
   return records;
 }
 
+std::vector<ServerRecord> ServerDirectory::RecordsBeside(
+    const std::vector<std::uint64_t>& parts) const {
+  if (parts.size() != kParts) return Records();
+  std::vector<ServerRecord> records;
+  for (const auto& [id, entry] : entries_) {
+    const std::size_t part = PartOf(id);
+    if (parts[part] != parts_.at(part)) records.push_back(entry.record);
+  }
+  return records;
+}
+
+std::size_t ServerDirectory::PartOf(const ServerId& id) {
+  return XXH64(id.value().data(), id.value().size(), 0) % kParts;
+}
+
+void ServerDirectory::ToggleDigest(const ServerRecord& record) {
+  const std::uint64_t hash = HashOf(record);
+  digest_ ^= hash;
+  parts_.at(PartOf(record.id)) ^= hash;
+}
+
 void ServerDirectory::Put(const ServerRecord& record, Time now) {
   const auto found = entries_.find(record.id);
-  if (found != entries_.end()) digest_ ^= HashOf(found->second.record);
+  if (found != entries_.end()) {
+    ToggleDigest(found->second.record);
+    const std::string& before = found->second.record.address;
+    const auto at = by_address_.find(before);
+    if (before != record.address && at != by_address_.end()) {
+      at->second.erase(record.id);
+      if (at->second.empty()) by_address_.erase(at);
+    }
+  }
   entries_[record.id] = {record, now, now};
-  digest_ ^= HashOf(record);
+  by_address_[record.address].insert(record.id);
+  ToggleDigest(record);
 }
 
 bool ServerDirectory::IsSuperseded(const ServerRecord& record) const {
-  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& one) {
-    const ServerRecord& other = one.second.record;
-    return other.id != record.id && other.address == record.address &&
-           other.born > record.born && other.state != ServerState::kGone;
-  });
+  const auto at = by_address_.find(record.address);
+  if (at == by_address_.end()) return false;
+  return std::any_of(at->second.begin(), at->second.end(),
+                     [&](const ServerId& id) {
+                       const ServerRecord& other = entries_.at(id).record;
+                       return id != record.id && other.born > record.born &&
+                              other.state != ServerState::kGone;
+                     });
 }
 
 void ServerDirectory::SupersedeAddress(const ServerRecord& record, Time now) {
   if (record.state == ServerState::kGone) return;
-  for (auto& [id, entry] : entries_) {
-    ServerRecord& other = entry.record;
-    const bool older = id != record.id && other.address == record.address &&
-                       other.state != ServerState::kGone &&
+  const auto at = by_address_.find(record.address);
+  if (at == by_address_.end()) return;
+  for (const ServerId& id : at->second) {
+    const ServerRecord& other = entries_.at(id).record;
+    const bool older = id != record.id && other.state != ServerState::kGone &&
                        other.born < record.born;
     if (!older) continue;
     ServerRecord ended = other;
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -22,11 +22,11 @@
 constexpr milliseconds kReconnectPause{250};
 // A peer that was not heard for so long is no longer named to others.
 constexpr Duration kForgetPeer = std::chrono::seconds(20);
-// A heartbeat's sender waits a second for its answer.
-constexpr milliseconds kNewsTimeout{850};
-constexpr milliseconds kAskAgain{300};
-// How often peers hear which servers are still heard, besides what is new.
-constexpr Duration kRefreshInterval = std::chrono::seconds(30);
+// How often peers hear which servers are still heard, besides what is new: a
+// few times within the time after which a silent one is taken for ended.
+constexpr Duration kRefreshInterval = std::chrono::minutes(3);
+// How often digests name the peers, of which each also hears from themselves.
+constexpr milliseconds kNamePeersInterval{1000};
 constexpr milliseconds kAcceptPause{100};
 
 }  // namespace
@@ -44,7 +44,8 @@
       peer_timer_(io),
       register_([this] { TakePlan(register_.document()); }),
       founding_(options_.self, options_.seeds, now),
-      sync_(options_.self) {
+      sync_(options_.self),
+      news_timer_(io) {
   if (!options_.data_folder.empty()) {
     replica_ = std::make_unique<ReplicaHost>(
         ReplicaHostOptions{options_.self, options_.zone, options_.data_folder,
@@ -77,7 +78,7 @@
 
 std::map<std::string, std::uint64_t> ControlNode::MetricValues() const {
   const bool current = sync_.IsCurrent(MonotonicNow());
-  return {
+  std::map<std::string, std::uint64_t> values = {
       {"control_is_leader", is_leader() ? 1 : 0},
       {"control_is_current", current ? 1 : 0},
       {"control_voters", sync_.voters().size()},
@@ -93,74 +94,8 @@
       {"control_reads_refused_total", counts_.reads_refused},
       {"control_leavings_unheard_total", counts_.leavings_unheard},
   };
-}
-
-void ControlNode::OnHeartbeat(const ServerRecord& record, BeatDone done) {
-  const Time now = MonotonicNow();
-  ++counts_.heartbeats;
-  const bool news = directory_.Merge(record, now);
-  const ServerDirectory::Entry* entry = directory_.Find(record.id);
-  const bool leaving = entry != nullptr &&
-                       entry->record.state != ServerState::kReady &&
-                       record.state != ServerState::kReady;
-  if (news) {
-    Log(LogLevel::kInfo,
-        record.state == ServerState::kReady ? Event::kServerAnnounced
-                                            : Event::kServerDraining,
-        {{"server", record.id.value()},
-         {"service", record.service.value()},
-         {"address", record.address},
-         {"born", std::to_string(record.born)},
-         {"sequence", std::to_string(record.sequence)}});
-    TellEntries({entry->record});
-  }
-  // That a server is there needs no promise; that it leaves does.
-  if (!leaving) {
-    if (news) Spread({entry->record}, nullptr, now);
-    return done(true);
-  }
-  Spread({entry->record}, std::move(done), now);
-}
-
-void ControlNode::OnDeregister(const ServerId& id, std::uint64_t born,
-                               BeatDone done) {
-  const Time now = MonotonicNow();
-  const bool news = directory_.MarkGone(id, born, now);
-  const ServerRecord record = directory_.Find(id)->record;
-  if (news) {
-    Log(LogLevel::kInfo, Event::kServerDraining,
-        {{"server", id.value()},
-         {"service", record.service.value()},
-         {"address", record.address},
-         {"born", std::to_string(record.born)},
-         {"state", "gone"}});
-    TellEntries({record});
-  }
-  if (record.state != ServerState::kGone) return done(true);
-  Spread({record}, std::move(done), now);
-}
-
-void ControlNode::Spread(const std::vector<ServerRecord>& records,
-                         BeatDone done, Time now) {
-  DirectoryNews news;
-  news.records = records;
-  if (done) {
-    // Before there are voters nobody can have been told to rely on them.
-    if (!sync_.has_voters() || sync_.IsMajority({})) {
-      done(true);
-    } else {
-      news.token = next_number_++;
-      waiting_news_[news.token] = {{}, std::move(done), now + kNewsTimeout};
-    }
-  }
-  for (auto& [name, peer] : peers_) SendTo(name, news);
-}
-
-void ControlNode::TellEntries(const std::vector<ServerRecord>& records) {
-  const std::string frame = EncodeFleetMessage(DirectoryNews{0, records});
-  for (auto& [number, incoming] : incoming_) {
-    if (incoming.entry) incoming.link->Send(frame);
-  }
+  values.merge(traffic_.Values());
+  return values;
 }
 
 void ControlNode::Accept() {
@@ -211,8 +146,8 @@
     if (hello->is_entry) {
       incoming.entry = Entry();
       incoming.entry->link = incoming.link;
-      incoming.link->Send(
-          EncodeFleetMessage(DirectoryNews{0, directory_.Records()}));
+      // An entry asks for the part of the directory that it lacks.
+      Send(*incoming.link, LivePeers(now));
     } else {
       Know(hello->from);
     }
@@ -224,7 +159,12 @@
     if (const auto* report = std::get_if<EntryReport>(&*message)) {
       OnEntryReport(*incoming.entry, *report, now);
     } else if (const auto* news = std::get_if<DirectoryNews>(&*message)) {
-      On(incoming.peer, *news, now);
+      const std::vector<ServerRecord> fresh = TakeNews(*news, now);
+      // Of what an entry knows first, the other control processes hear too.
+      if (!fresh.empty()) Spread(fresh, nullptr, now);
+    } else if (const auto* ask = std::get_if<DirectoryAsk>(&*message)) {
+      Send(*incoming.link,
+           DirectoryNews{0, directory_.RecordsBeside(ask->parts)});
     }
     return;
   }
@@ -247,6 +187,7 @@
   events.on_up = [this, peer] {
     Log(LogLevel::kInfo, Event::kLinkUp,
         {{"peer", peer}, {"direction", "outgoing"}});
+    peers_[peer].has_base = false;
     SendTo(peer, Hello{options_.self, false});
   };
   // All that a peer has to say comes over its own link.
@@ -266,7 +207,16 @@
 void ControlNode::SendTo(const std::string& peer, const FleetMessage& message) {
   const auto found = peers_.find(peer);
   if (found == peers_.end()) return Know(peer);
-  if (found->second.link) found->second.link->Send(EncodeFleetMessage(message));
+  if (found->second.link) Send(*found->second.link, message);
+}
+
+void ControlNode::Send(FrameLink& link, const FleetMessage& message) {
+  Send(link, EncodedMessage(message));
+}
+
+void ControlNode::Send(FrameLink& link, const EncodedMessage& message) {
+  traffic_.Count(message);
+  link.Send(message.bytes);
 }
 
 void ControlNode::On(const std::string& from, ControlDigest digest, Time now) {
@@ -274,109 +224,26 @@
   for (const std::string& voter : digest.voters) Know(voter);
   Peer& peer = peers_[from];
   if (!replica_ || !replica_->is_running()) sync_.SetVoters(digest.voters);
-  if (digest.directory_digest == directory_.digest()) {
-    sync_.OnInStep(from, now);
-  } else if (now >= peer.last_ask + kAskAgain) {
-    peer.last_ask = now;
-    SendTo(from, DirectoryAsk{});
+  const bool differs = digest.directory_digest != directory_.digest();
+  if (!differs) sync_.OnInStep(from, now);
+  if (peer.mismatch.ShouldAsk(differs, now)) {
+    SendTo(from, DirectoryAsk{directory_.PartDigests()});
   }
-  if (digest.plan_version > plan_.version) SendTo(from, PlanAsk{});
+  if (digest.plan_version > plan_.version) AskForPlan(from, now);
   peer.digest = std::move(digest);
   peer.digest_at = now;
 }
 
-void ControlNode::On(const std::string& from, const ReplicaPayload& payload,
-                     Time /*now*/) {
-  if (replica_) replica_->OnMessage(from, payload.bytes);
-}
-
-void ControlNode::On(const std::string& from, const DirectoryNews& news,
-                     Time now) {
-  std::vector<ServerRecord> fresh;
-  for (const ServerRecord& record : news.records) {
-    if (!directory_.Merge(record, now)) continue;
-    fresh.push_back(directory_.Find(record.id)->record);
-  }
-  if (!fresh.empty()) TellEntries(fresh);
-  if (news.token != 0) SendTo(from, DirectoryAck{news.token});
-}
-
-void ControlNode::On(const std::string& from, const DirectoryAck& ack,
+void ControlNode::On(const std::string& from, const FleetUse& use,
                      Time /*now*/) {
-  const auto waiting = waiting_news_.find(ack.token);
-  if (waiting == waiting_news_.end()) return;
-  waiting->second.acknowledged.insert(from);
-  if (!sync_.IsMajority(waiting->second.acknowledged)) return;
-  const BeatDone done = std::move(waiting->second.done);
-  waiting_news_.erase(waiting);
-  done(true);
+  if (peers_[from].use.Take(use)) return;
+  Log(LogLevel::kWarning, Event::kLinkRefused,
+      {{"peer", from}, {"reason", "damaged_loads"}});
 }
 
-void ControlNode::On(const std::string& from, const DirectoryAsk& /*ask*/,
+void ControlNode::On(const std::string& from, const ReplicaPayload& payload,
                      Time /*now*/) {
-  SendTo(from, DirectoryNews{0, directory_.Records()});
-}
-
-void ControlNode::OnEntryReport(Entry& entry, const EntryReport& report,
-                                Time now) {
-  entry.is_primary = report.is_primary;
-  entry.load = ToFleetLoad(report.load);
-  entry.demand = ToFleetDemand(report.demand);
-  entry.plan_version = report.plan_version;
-  if (report.directory_digest != directory_.digest()) {
-    entry.link->Send(
-        EncodeFleetMessage(DirectoryNews{0, directory_.Records()}));
-  }
-  OfferPlan(entry, now);
-}
-
-ControlNode::Use ControlNode::OwnEntriesUse() const {
-  Use sum;
-  for (const auto& [number, incoming] : incoming_) {
-    if (!incoming.entry || !incoming.entry->is_primary) continue;
-    AddLoad(sum.load, incoming.entry->load);
-    AddDemand(sum.demand, incoming.entry->demand);
-    ++sum.entries;
-  }
-  return sum;
-}
-
-EntryUpdate ControlNode::CommonUpdate(Time now) const {
-  EntryUpdate update;
-  update.is_current = sync_.IsCurrent(now);
-  update.plan_version = plan_.version;
-  update.directory_digest = directory_.digest();
-  update.peers.push_back(options_.self);
-  for (const auto& [name, peer] : peers_) {
-    if (IsLive(peer, now)) update.peers.push_back(name);
-  }
-  return update;
-}
-
-void ControlNode::UpdateEntries(Use all, Time now) {
-  for (const auto& [name, peer] : peers_) {
-    if (!IsLive(peer, now)) continue;
-    all.entries += peer.digest->entries;
-    AddLoad(all.load, ToFleetLoad(peer.digest->load));
-    AddDemand(all.demand, ToFleetDemand(peer.digest->demand));
-  }
-  EntryUpdate update = CommonUpdate(now);
-  update.entries = all.entries;
-  for (auto& [number, incoming] : incoming_) {
-    if (!incoming.entry) continue;
-    Entry& entry = *incoming.entry;
-    update.others.clear();
-    update.others_demand.clear();
-    if (entry.is_primary) {
-      Use others = all;
-      TakeLoad(others.load, entry.load);
-      TakeDemand(others.demand, entry.demand);
-      update.others = ToList(others.load);
-      update.others_demand = ToList(others.demand);
-    }
-    entry.link->Send(EncodeFleetMessage(update));
-    OfferPlan(entry, now);
-  }
+  if (replica_) replica_->OnMessage(from, payload.bytes);
 }
 
 bool ControlNode::IsLive(const Peer& peer, Time now) {
@@ -399,43 +266,58 @@
   return founding_.Decide(may_found, heard, now);
 }
 
-ControlDigest ControlNode::Digest(const Use& own, Time now) {
+ControlDigest ControlNode::Digest(Time now) {
   ControlDigest digest;
+  digest.zone = options_.zone;
   digest.has_disk = replica_ != nullptr;
   digest.may_found = MayFound();
   digest.founders = Founders(now);
   digest.voters = {sync_.voters().begin(), sync_.voters().end()};
   digest.leader = Leader(now);
-  for (const auto& [name, peer] : peers_) {
-    if (peer.digest && now < peer.digest_at + kForgetPeer) {
-      digest.peers.push_back(name);
+  if (now >= next_naming_) {
+    next_naming_ = now + kNamePeersInterval;
+    for (const auto& [name, peer] : peers_) {
+      if (peer.digest && now < peer.digest_at + kForgetPeer) {
+        digest.peers.push_back(name);
+      }
     }
   }
   digest.directory_digest = directory_.digest();
   digest.plan_version = plan_.version;
-  digest.entries = own.entries;
-  digest.load = ToList(own.load);
-  digest.demand = ToList(own.demand);
   return digest;
 }
 
-void ControlNode::TickPeers() {
-  const Time now = MonotonicNow();
-  directory_.Expire(now);
-  DropSilentLinks(now);
-  const Use own = OwnEntriesUse();
-  const std::string frame = EncodeFleetMessage(Digest(own, now));
-  std::string refresh;
+void ControlNode::TellPeers(const UseSum& own, Time now) {
+  const EncodedMessage digest(Digest(now));
+  std::optional<EncodedMessage> changes;
+  if (const auto use = peer_feed_.Next(own)) changes.emplace(*use);
+  std::optional<EncodedMessage> whole;
+  std::optional<EncodedMessage> refresh;
   if (now >= next_refresh_) {
     next_refresh_ = now + kRefreshInterval;
-    refresh = EncodeFleetMessage(DirectoryNews{0, directory_.Records()});
+    refresh.emplace(DirectoryNews{0, directory_.Records()});
   }
   for (auto& [name, peer] : peers_) {
     Connect(name, now);
-    if (!peer.link) continue;
-    peer.link->Send(frame);
-    if (!refresh.empty()) peer.link->Send(refresh);
+    if (!peer.link || !peer.link->is_up()) continue;
+    Send(*peer.link, digest);
+    if (!peer.has_base) {
+      if (!whole) whole.emplace(peer_feed_.Whole());
+      Send(*peer.link, *whole);
+      peer.has_base = true;
+    } else if (changes) {
+      Send(*peer.link, *changes);
+    }
+    if (refresh) Send(*peer.link, *refresh);
   }
+}
+
+void ControlNode::TickPeers() {
+  const Time now = MonotonicNow();
+  directory_.Expire(now);
+  DropSilentLinks(now);
+  const UseSum own = OwnEntriesUse();
+  TellPeers(own, now);
   UpdateEntries(own, now);
   ExpireWaiting(now);
   peer_timer_.expires_after(kDigestInterval);
@@ -468,18 +350,4 @@
   }));
 }
 
-void ControlNode::ExpireWaiting(Time now) {
-  std::vector<BeatDone> late;
-  for (auto waiting = waiting_news_.begin(); waiting != waiting_news_.end();) {
-    if (now < waiting->second.until) {
-      ++waiting;
-      continue;
-    }
-    late.push_back(std::move(waiting->second.done));
-    waiting = waiting_news_.erase(waiting);
-  }
-  counts_.leavings_unheard += late.size();
-  for (const BeatDone& done : late) done(false);
-}
-
 }  // namespace coltsfootfork
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -15,9 +15,12 @@
 
 #include "coltsfootfork/core/fleet/fleet_message.h"
 #include "coltsfootfork/core/fleet/founding_round.h"
+#include "coltsfootfork/core/fleet/load_feed.h"
+#include "coltsfootfork/core/fleet/mismatch_watch.h"
 #include "coltsfootfork/core/fleet/plan_register.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/voter_sync.h"
+#include "shell/fleet/fleet_traffic.h"
 #include "shell/fleet/frame_link.h"
 #include "shell/fleet/replica_host.h"
 #include "shell/net/lifetime.h"
@@ -87,22 +90,25 @@
     std::optional<ControlDigest> digest;
     Time digest_at;
     Time next_connect;
-    Time last_ask;
+    MismatchWatch mismatch;
+    // What entries take that report to the peer.
+    HeardUse use;
+    // The sum told over the present link is what the changes go on from.
+    bool has_base = false;
   };
   struct Entry {
     std::shared_ptr<FrameLink> link;
     bool is_primary = false;
-    FleetLoad load;
-    FleetDemand demand;
+    // The same as for a peer.
+    bool has_base = false;
+    std::uint64_t report = 0;
+    UseSum use;
+    MismatchWatch mismatch;
     std::uint64_t plan_version = 0;
     std::uint64_t plan_sent = 0;
     Time plan_sent_at;
-  };
-  // What entries take and want together, and how many there are.
-  struct Use {
-    FleetLoad load;
-    FleetDemand demand;
-    std::uint32_t entries = 0;
+    // Since when its plan is older than the one here.
+    std::optional<Time> lags_since;
   };
   // A leaving that waits for a majority.
   struct WaitingNews {
@@ -124,8 +130,12 @@
   void Know(const std::string& peer);
   void Connect(const std::string& peer, Time now);
   void SendTo(const std::string& peer, const FleetMessage& message);
+  // Every message of this process leaves through one of these.
+  void Send(FrameLink& link, const FleetMessage& message);
+  void Send(FrameLink& link, const EncodedMessage& message);
 
   void On(const std::string& from, ControlDigest digest, Time now);
+  void On(const std::string& from, const FleetUse& use, Time now);
   void On(const std::string& from, const ReplicaPayload& payload, Time now);
   void On(const std::string& from, const DirectoryNews& news, Time now);
   void On(const std::string& from, const DirectoryAck& ack, Time now);
@@ -141,9 +151,14 @@
 
   void Spread(const std::vector<ServerRecord>& records, BeatDone done,
               Time now);
+  // Takes records in, tells the entries what is new of them, and gives it back.
+  std::vector<ServerRecord> TakeNews(const DirectoryNews& news, Time now);
+  // Entries hear of news together with what else comes in the next moment.
   void TellEntries(const std::vector<ServerRecord>& records);
+  void FlushNews();
   void TakePlan(const PlanDocument& document);
   void OfferPlan(Entry& entry, Time now);
+  void AskForPlan(const std::string& peer, Time now);
   void Ask(RelayRequest request,
            std::function<void(const RelayReply& reply)> done);
   void TryRelay(std::uint64_t number, Time now);
@@ -157,13 +172,13 @@
   bool MayFound() const;
   // Who founds the group, once that is decided.
   std::vector<std::string> Founders(Time now);
-  ControlDigest Digest(const Use& own, Time now);
-  Use OwnEntriesUse() const;
-  // Tells each entry what all others take and want; `all` is what the entries
-  // that report here do.
-  void UpdateEntries(Use all, Time now);
-  // What every entry is told alike.
-  EntryUpdate CommonUpdate(Time now) const;
+  ControlDigest Digest(Time now);
+  void TellPeers(const UseSum& own, Time now);
+  UseSum OwnEntriesUse() const;
+  // Tells all entries what they take and want together; `all` is what those do
+  // that report here.
+  void UpdateEntries(UseSum all, Time now);
+  PeerList LivePeers(Time now) const;
   static bool IsLive(const Peer& peer, Time now);
   void ExpireWaiting(Time now);
   std::string Leader(Time now) const;
@@ -198,6 +213,17 @@
   };
   Counts counts_;
   Time next_refresh_;
+  Time next_naming_;
+  Time next_plan_ask_;
+  Time next_peer_list_;
+  // Entries are asked for what differs one at a time.
+  Time next_entry_ask_;
+  // What was told to the other control processes, and to the entries.
+  LoadFeed peer_feed_;
+  LoadFeed entry_feed_;
+  std::vector<ServerRecord> entry_news_;
+  boost::asio::steady_timer news_timer_;
+  FleetTraffic traffic_;
   std::map<std::uint64_t, WaitingNews> waiting_news_;
   std::map<std::uint64_t, WaitingRelay> waiting_relays_;
   Lifetime lifetime_;
--- /dev/null
+++ b/src/shell/fleet/control_node_entries.cc
@@ -0,0 +1,88 @@
+#include <utility>
+
+#include "shell/fleet/control_node.h"
+
+// The part of ControlNode that speaks with the entries that follow it.
+namespace coltsfootfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Between two entries that are asked for what differs: what one tells is mostly
+// what all others would.
+constexpr milliseconds kAskNextEntry{200};
+// How often entries hear which control processes there are: seldom enough to
+// cost little, and well within the time that a replaced one is missed for.
+constexpr milliseconds kPeerListInterval{2000};
+
+}  // namespace
+
+void ControlNode::OnEntryReport(Entry& entry, const EntryReport& report,
+                                Time now) {
+  if (!report.is_primary) entry.has_base = false;
+  entry.is_primary = report.is_primary;
+  entry.report = report.number;
+  entry.use.entries = report.is_primary ? 1 : 0;
+  entry.use.load = ToKeyed(ToFleetLoad(report.load));
+  entry.use.demand = ToFleetDemand(report.demand);
+  entry.plan_version = report.plan_version;
+  const bool differs = report.directory_digest != directory_.digest();
+  if (now >= next_entry_ask_ && entry.mismatch.ShouldAsk(differs, now)) {
+    next_entry_ask_ = now + kAskNextEntry;
+    Send(*entry.link, DirectoryAsk{directory_.PartDigests()});
+  }
+  OfferPlan(entry, now);
+}
+
+UseSum ControlNode::OwnEntriesUse() const {
+  UseSum sum;
+  for (const auto& [number, incoming] : incoming_) {
+    if (incoming.entry) AddUse(sum, incoming.entry->use);
+  }
+  return sum;
+}
+
+PeerList ControlNode::LivePeers(Time now) const {
+  PeerList list;
+  list.peers.push_back({options_.self, options_.zone, replica_ != nullptr});
+  for (const auto& [name, peer] : peers_) {
+    if (!IsLive(peer, now)) continue;
+    list.peers.push_back({name, peer.digest->zone, peer.digest->has_disk});
+  }
+  return list;
+}
+
+void ControlNode::UpdateEntries(UseSum all, Time now) {
+  for (const auto& [name, peer] : peers_) {
+    if (IsLive(peer, now)) AddUse(all, peer.use.sum());
+  }
+  std::optional<EncodedMessage> changes;
+  if (const auto use = entry_feed_.Next(all)) changes.emplace(*use);
+  std::optional<EncodedMessage> whole;
+  std::optional<EncodedMessage> peers;
+  if (now >= next_peer_list_) {
+    next_peer_list_ = now + kPeerListInterval;
+    peers.emplace(LivePeers(now));
+  }
+  EntryUpdate update;
+  update.is_current = sync_.IsCurrent(now);
+  update.plan_version = plan_.version;
+  update.directory_digest = directory_.digest();
+  for (auto& [number, incoming] : incoming_) {
+    if (!incoming.entry) continue;
+    Entry& entry = *incoming.entry;
+    if (peers) Send(*entry.link, *peers);
+    if (entry.is_primary && !entry.has_base) {
+      if (!whole) whole.emplace(entry_feed_.Whole());
+      Send(*entry.link, *whole);
+      entry.has_base = true;
+    } else if (entry.is_primary && changes) {
+      Send(*entry.link, *changes);
+    }
+    update.report = entry.report;
+    Send(*entry.link, update);
+    OfferPlan(entry, now);
+  }
+}
+
+}  // namespace coltsfootfork
--- a/src/shell/fleet/control_node_plan.cc
+++ b/src/shell/fleet/control_node_plan.cc
@@ -16,9 +16,14 @@
 constexpr milliseconds kRelayTimeout{900};
 constexpr milliseconds kRelayAgain{100};
 constexpr milliseconds kRelayLost{400};
-// A plan that an entry has not taken is sent again after this, and to entries
-// that another process serves first.
-constexpr milliseconds kPlanAgain{400};
+// An entry that another process serves first gets a plan from here when it has
+// lagged for so long.
+constexpr milliseconds kPlanBySecond{400};
+// A plan that was sent arrives, or the link ends; after this it is sent again
+// all the same. Above the time that the largest plan takes on a thin link.
+constexpr milliseconds kPlanAgain{3000};
+// One process at a time is asked for a plan, for the same reason.
+constexpr milliseconds kPlanAskAgain{400};
 
 }  // namespace
 
@@ -142,6 +147,12 @@
   done(reply);
 }
 
+void ControlNode::AskForPlan(const std::string& peer, Time now) {
+  if (now < next_plan_ask_) return;
+  next_plan_ask_ = now + kPlanAskAgain;
+  SendTo(peer, PlanAsk{});
+}
+
 void ControlNode::On(const std::string& from, const PlanAsk& /*ask*/,
                      Time /*now*/) {
   if (plan_.version > 0) SendTo(from, plan_);
@@ -165,19 +176,19 @@
 }
 
 void ControlNode::OfferPlan(Entry& entry, Time now) {
-  if (entry.plan_version >= plan_.version) return;
+  if (entry.plan_version >= plan_.version) {
+    entry.lags_since.reset();
+    return;
+  }
+  if (!entry.lags_since) entry.lags_since = now;
   // One plan at a time: an entry on a thin link skips those in between.
   const bool under_way = entry.plan_sent > entry.plan_version;
   if (under_way && now < entry.plan_sent_at + kPlanAgain) return;
-  if (!entry.is_primary && !under_way) {
-    // The process that serves the entry first sends it, most times.
-    entry.plan_sent = plan_.version;
-    entry.plan_sent_at = now;
-    return;
-  }
+  // The process that serves the entry first sends it, most times.
+  if (!entry.is_primary && now < *entry.lags_since + kPlanBySecond) return;
   entry.plan_sent = plan_.version;
   entry.plan_sent_at = now;
-  entry.link->Send(EncodeFleetMessage(plan_));
+  Send(*entry.link, plan_);
 }
 
 void ControlNode::StartReplica(Time now) {
--- a/src/shell/fleet/fleet_follower.cc
+++ b/src/shell/fleet/fleet_follower.cc
@@ -16,9 +16,20 @@
 // A control process speaks several times within this.
 constexpr milliseconds kSilent{800};
 constexpr milliseconds kStale{500};
-// One that was left is not asked again before this.
-constexpr milliseconds kPassOver{1000};
-constexpr milliseconds kUploadPause{1000};
+// After so long a control process that serves well is no longer passed over for
+// what was before.
+constexpr milliseconds kGoodAfter{5000};
+// How often an entry moves to a better control process: not all at once when
+// one comes back.
+constexpr milliseconds kMoveInterval{2000};
+// Reports that may be under way before the sums that include them come back.
+constexpr std::size_t kKeptReports = 16;
+// Names are kept for as many servers as are known, this many times over.
+constexpr std::size_t kNamesKept = 4;
+
+FollowChoice::Role RoleOf(std::size_t index) {
+  return index == 0 ? FollowChoice::Role::kNear : FollowChoice::Role::kFar;
+}
 
 }  // namespace
 
@@ -29,7 +40,7 @@
       options_(std::move(options)),
       events_(std::move(events)),
       timer_(io),
-      random_(options_.seed) {
+      choice_(options_.zone, options_.seed) {
   AddSeeds(options_.seeds);
   Tick();
 }
@@ -41,7 +52,7 @@
 }
 
 void FleetFollower::AddSeeds(const std::vector<std::string>& seeds) {
-  for (const std::string& seed : seeds) known_.emplace(seed, Time());
+  for (const std::string& seed : seeds) choice_.Know(seed);
 }
 
 void FleetFollower::Tick() {
@@ -56,6 +67,7 @@
     if (!slot.link) Connect(i, now);
     Report(i);
   }
+  MoveToBetter(now);
   directory_.Expire(now);
   timer_.expires_after(kReportInterval);
   timer_.async_wait(lifetime_.Guard([this](error_code error) {
@@ -69,20 +81,28 @@
   return !first && second ? 1 : 0;
 }
 
-std::string FleetFollower::Choose(std::size_t index, Time now) {
-  std::vector<std::string> free;
-  for (const auto& [address, pass_over] : known_) {
-    if (now < pass_over || address == slots_[1 - index].address) continue;
-    free.push_back(address);
+void FleetFollower::MoveToBetter(Time now) {
+  if (now < next_move_) return;
+  next_move_ = now + kMoveInterval;
+  for (const Slot& slot : slots_) {
+    if (!slot.link || !slot.link->is_up() || !slot.current) return;
+  }
+  for (std::size_t i = 0; i < slots_.size(); ++i) {
+    Slot& slot = slots_[i];
+    if (now >= slot.up_since + kGoodAfter) choice_.OnGood(slot.address);
+    if (!choice_.HasBetter(RoleOf(i), slot.address, slots_[1 - i].address,
+                           now)) {
+      continue;
+    }
+    const auto link = std::exchange(slot.link, nullptr);
+    link->Close();
+    return Connect(i, now);
   }
-  if (free.empty()) return {};
-  std::uniform_int_distribution<std::size_t> lot(0, free.size() - 1);
-  return free[lot(random_)];
 }
 
 void FleetFollower::Connect(std::size_t index, Time now) {
   Slot& slot = slots_[index];
-  slot.address = Choose(index, now);
+  slot.address = choice_.Choose(RoleOf(index), slots_[1 - index].address, now);
   const auto endpoint = ParseEndpoint(slot.address);
   if (!endpoint) return;
   const std::uint64_t attempt = next_attempt_++;
@@ -92,8 +112,15 @@
   FrameLink::Events events;
   events.on_up = [this, index, attempt] {
     if (slots_[index].attempt != attempt) return;
-    slots_[index].stale_since = MonotonicNow();
-    slots_[index].link->Send(EncodeFleetMessage(Hello{options_.name, true}));
+    Slot& up = slots_[index];
+    up.stale_since = MonotonicNow();
+    up.up_since = up.stale_since;
+    up.mismatch = MismatchWatch();
+    up.all = HeardUse();
+    up.reports.clear();
+    up.next_report = 1;
+    Send(up, Hello{options_.name, true});
+    Send(up, DirectoryAsk{directory_.PartDigests()});
     Report(index);
   };
   events.on_frame = [this, index, attempt](const std::string& frame) {
@@ -109,7 +136,7 @@
   Slot& slot = slots_[index];
   Log(LogLevel::kInfo, Event::kLinkDown,
       {{"peer", slot.address}, {"current", slot.current ? "true" : "false"}});
-  known_[slot.address] = now + kPassOver;
+  choice_.OnLeft(slot.address, now);
   const auto link = std::exchange(slot.link, nullptr);
   if (link) link->Close();
   slot.attempt = 0;
@@ -130,6 +157,21 @@
   if (const auto* news = std::get_if<DirectoryNews>(&*message)) {
     return OnNews(*news, now);
   }
+  if (const auto* use = std::get_if<FleetUse>(&*message)) {
+    // One that cannot be read changes nothing; the whole comes with the link.
+    if (!slots_[index].all.Take(*use)) Leave(index, now);
+    return;
+  }
+  if (const auto* list = std::get_if<PeerList>(&*message)) {
+    for (const ControlPeer& peer : list->peers) {
+      choice_.Know(peer.address, {peer.zone, peer.has_disk});
+    }
+    return;
+  }
+  if (const auto* ask = std::get_if<DirectoryAsk>(&*message)) {
+    return Send(slots_[index],
+                DirectoryNews{0, directory_.RecordsBeside(ask->parts)});
+  }
   const auto* plan = std::get_if<PlanDocument>(&*message);
   if (plan == nullptr || plan->version <= plan_version_) return;
   plan_version_ = plan->version;
@@ -140,48 +182,96 @@
 void FleetFollower::OnUpdate(std::size_t index, const EntryUpdate& update,
                              Time now) {
   Slot& slot = slots_[index];
-  for (const std::string& peer : update.peers) known_.emplace(peer, Time());
   if (slot.current && !update.is_current) slot.stale_since = now;
   slot.current = update.is_current;
-  if (update.directory_digest != directory_.digest()) Upload(slot, now);
+  const bool differs = update.directory_digest != directory_.digest();
+  if (slot.mismatch.ShouldAsk(differs, now)) {
+    Send(slot, DirectoryAsk{directory_.PartDigests()});
+  }
   if (!update.is_current) return;
   if (update.plan_version == plan_version_ &&
       update.directory_digest == directory_.digest()) {
     synced_ = true;
   }
-  if (index != Primary()) return;
-  events_.on_load(ToFleetLoad(update.others),
-                  ToFleetDemand(update.others_demand), update.entries);
+  if (index == Primary()) TellUse(slot, update.report);
+}
+
+void FleetFollower::TellUse(Slot& slot, std::uint64_t report) {
+  while (!slot.reports.empty() && slot.reports.front().number < report) {
+    slot.reports.pop_front();
+  }
+  UseSum others = slot.all.sum();
+  if (!slot.reports.empty() && slot.reports.front().number == report) {
+    const UseSum& own = slot.reports.front().use;
+    TakeLoad(others.load, own.load);
+    TakeDemand(others.demand, own.demand);
+  }
+  FleetLoad load;
+  for (const auto& [key, one] : others.load) {
+    const ServerId name = NameOf(key);
+    if (!name.empty()) load[name] = one;
+  }
+  events_.on_load(std::move(load), std::move(others.demand), others.entries);
 }
 
-void FleetFollower::Upload(Slot& slot, Time now) {
-  // Control keeps the directory in memory: after a restart it learns from its
-  // entries who has left.
-  if (now < slot.next_upload) return;
-  slot.next_upload = now + kUploadPause;
-  slot.link->Send(EncodeFleetMessage(DirectoryNews{0, directory_.Records()}));
+ServerId FleetFollower::NameOf(ServerKey key) const {
+  const auto found = names_.find(key);
+  return found == names_.end() ? ServerId() : found->second;
+}
+
+void FleetFollower::Send(Slot& slot, const FleetMessage& message) {
+  const EncodedMessage encoded(message);
+  traffic_.Count(encoded);
+  slot.link->Send(encoded.bytes);
 }
 
 void FleetFollower::OnNews(const DirectoryNews& news, Time now) {
   bool changed = false;
   for (const ServerRecord& record : news.records) {
+    names_[KeyOf(record.id)] = record.id;
     changed = directory_.Merge(record, now) || changed;
   }
+  if (names_.size() > kNamesKept * (directory_.entries().size() + 1)) {
+    TrimNames();
+  }
   if (changed) events_.on_directory(directory_);
 }
 
+void FleetFollower::TrimNames() {
+  names_.clear();
+  for (const auto& [server, entry] : directory_.entries()) {
+    names_[KeyOf(server)] = server;
+  }
+}
+
+void FleetFollower::OnServerWord(const ServerId& server, std::uint64_t born,
+                                 Time now) {
+  if (!directory_.MarkLeaving(server, born, now)) return;
+  const DirectoryNews news{0, {directory_.Find(server)->record}};
+  for (Slot& slot : slots_) {
+    if (slot.link) Send(slot, news);
+  }
+  events_.on_directory(directory_);
+}
+
 void FleetFollower::Report(std::size_t index) {
   Slot& slot = slots_[index];
   if (!slot.link || !slot.link->is_up()) return;
   EntryReport report;
+  report.number = slot.next_report++;
   report.is_primary = index == Primary();
   report.plan_version = plan_version_;
   report.directory_digest = directory_.digest();
   if (report.is_primary) {
-    report.load = ToList(events_.own_load());
-    report.demand = ToList(events_.own_demand());
+    const FleetLoad load = events_.own_load();
+    const FleetDemand demand = events_.own_demand();
+    report.load = ToList(load);
+    report.demand = ToList(demand);
+    for (const auto& [server, one] : load) names_[KeyOf(server)] = server;
+    slot.reports.push_back({report.number, {1, ToKeyed(load), demand}});
+    if (slot.reports.size() > kKeptReports) slot.reports.pop_front();
   }
-  slot.link->Send(EncodeFleetMessage(report));
+  Send(slot, report);
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/fleet/fleet_follower.h
+++ b/src/shell/fleet/fleet_follower.h
@@ -4,17 +4,21 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "coltsfootfork/core/fleet/fleet_message.h"
+#include "coltsfootfork/core/fleet/follow_choice.h"
+#include "coltsfootfork/core/fleet/load_feed.h"
+#include "coltsfootfork/core/fleet/mismatch_watch.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/server_load.h"
 #include "coltsfootfork/core/types/ids.h"
+#include "shell/fleet/fleet_traffic.h"
 #include "shell/fleet/frame_link.h"
 #include "shell/net/lifetime.h"
 
@@ -25,6 +29,7 @@
   std::string name;
   std::vector<std::string> seeds;
   std::uint64_t seed = 0;
+  ZoneId zone{};
 };
 
 struct FleetFollowerEvents {
@@ -54,12 +59,25 @@
   // Further control processes that may be asked.
   void AddSeeds(const std::vector<std::string>& seeds);
 
+  // A server has said, in an answer to this entry, that the incarnation leaves.
+  // It counts here at once, and control is told.
+  void OnServerWord(const ServerId& server, std::uint64_t born, Time now);
+
   // A control process that is in touch with a majority has told this entry all
   // that it holds, at least once.
   bool has_synced() const { return synced_; }
   const ServerDirectory& directory() const { return directory_; }
+  // For the metrics page, by name.
+  std::map<std::string, std::uint64_t> MetricValues() const {
+    return traffic_.Values();
+  }
 
  private:
+  // What this entry has reported over a link.
+  struct SentReport {
+    std::uint64_t number = 0;
+    UseSum use;
+  };
   struct Slot {
     std::shared_ptr<FrameLink> link;
     std::string address;
@@ -67,16 +85,26 @@
     // Since when the process has not been current.
     Time stale_since;
     bool current = false;
-    Time next_upload;
+    Time up_since;
+    MismatchWatch mismatch;
+    // Since when the control process has counted this entry's load.
+    HeardUse all;
+    std::deque<SentReport> reports;
+    std::uint64_t next_report = 1;
   };
 
   void Tick();
   void Connect(std::size_t index, Time now);
-  std::string Choose(std::size_t index, Time now);
   void OnFrame(std::size_t index, const std::string& frame);
   void OnUpdate(std::size_t index, const EntryUpdate& update, Time now);
-  // Tells the control process what is known here.
-  void Upload(Slot& slot, Time now);
+  // What others take and want, by the sums and this entry's part of them.
+  void TellUse(Slot& slot, std::uint64_t report);
+  ServerId NameOf(ServerKey key) const;
+  // Forgets the names of servers that have left long ago.
+  void TrimNames();
+  // Leaves a control process for a better one, one at a time.
+  void MoveToBetter(Time now);
+  void Send(Slot& slot, const FleetMessage& message);
   void OnNews(const DirectoryNews& news, Time now);
   void Report(std::size_t index);
   void Leave(std::size_t index, Time now);
@@ -86,10 +114,13 @@
   FleetFollowerOptions options_;
   FleetFollowerEvents events_;
   boost::asio::steady_timer timer_;
-  std::mt19937_64 random_;
+  // The first is the near one.
   std::array<Slot, 2> slots_;
-  // Control processes, and until when each is passed over.
-  std::map<std::string, Time> known_;
+  FollowChoice choice_;
+  Time next_move_;
+  // Servers of the directory, and those that this entry's calls are at.
+  std::map<ServerKey, ServerId> names_;
+  FleetTraffic traffic_;
   std::uint64_t next_attempt_ = 1;
   ServerDirectory directory_;
   std::uint64_t plan_version_ = 0;
--- /dev/null
+++ b/tests/core/fleet/load_feed_test.cc
@@ -0,0 +1,51 @@
+#include "coltsfootfork/core/fleet/load_feed.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace coltsfootfork {
+namespace {
+
+UseSum Sum(std::uint32_t entries, std::uint64_t tokens) {
+  UseSum sum;
+  sum.entries = entries;
+  sum.load = {{1, {1, tokens, 0}}, {2, {2, 20, 5}}};
+  sum.demand[{ServiceId("model"), 1}] = tokens;
+  return sum;
+}
+
+bool IsSame(const UseSum& a, const UseSum& b) {
+  return a.entries == b.entries && a.demand == b.demand &&
+         ChangesOf(a.load, b.load).empty();
+}
+
+BOOST_AUTO_TEST_CASE(ChangesAreToldOnceAndTheRestNotAgain) {
+  LoadFeed feed;
+  HeardUse heard;
+  BOOST_TEST(heard.Take(feed.Next(Sum(3, 100)).value()));
+  BOOST_TEST(!feed.Next(Sum(3, 100)).has_value());
+  const FleetUse second = feed.Next(Sum(3, 200)).value();
+  BOOST_TEST(second.load.size() == 4U);
+  BOOST_TEST(heard.Take(second));
+  BOOST_TEST(IsSame(heard.sum(), Sum(3, 200)));
+}
+
+BOOST_AUTO_TEST_CASE(ALateReceiverGetsTheWholeAndThenChanges) {
+  LoadFeed feed;
+  feed.Next(Sum(3, 100));
+  HeardUse heard;
+  // What it held from another process is forgotten.
+  heard.Take({9, true, {7, 1, 1, 1}, {}});
+  BOOST_TEST(heard.Take(feed.Whole()));
+  BOOST_TEST(IsSame(heard.sum(), Sum(3, 100)));
+  BOOST_TEST(heard.Take(feed.Next(Sum(4, 300)).value()));
+  BOOST_TEST(IsSame(heard.sum(), Sum(4, 300)));
+}
+
+BOOST_AUTO_TEST_CASE(DamagedNumbersChangeNothing) {
+  HeardUse heard;
+  BOOST_TEST(!heard.Take({9, true, {7, 1}, {}}));
+  BOOST_TEST(heard.sum().entries == 0U);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- a/tests/core/fleet/server_directory_test.cc
+++ b/tests/core/fleet/server_directory_test.cc
@@ -1,6 +1,7 @@
 #include "coltsfootfork/core/fleet/server_directory.h"
 
 #include <boost/test/unit_test.hpp>
+#include <string>
 
 namespace coltsfootfork {
 namespace {
@@ -47,6 +48,29 @@
   BOOST_CHECK(StateOf(directory, "a") == ServerState::kDraining);
 }
 
+// Two processes that differ in a few records tell each other little more.
+BOOST_AUTO_TEST_CASE(WhatDiffersIsToldAndLittleElse) {
+  constexpr int kServers = 1000;
+  ServerDirectory one;
+  ServerDirectory two;
+  for (int i = 0; i < kServers; ++i) {
+    ServerRecord record = Record("i-" + std::to_string(i), 1, 1);
+    record.address = "10.0.0.1:" + std::to_string(1000 + i);
+    one.Merge(record, kNow);
+    if (i != 7) two.Merge(record, kNow);
+  }
+  ServerRecord left = one.Find(ServerId("i-9"))->record;
+  left.state = ServerState::kGone;
+  one.Merge(left, kNow);
+  BOOST_TEST(one.digest() != two.digest());
+  const auto told = one.RecordsBeside(two.PartDigests());
+  BOOST_TEST(told.size() < kServers / 10U);
+  for (const ServerRecord& record : told) two.Merge(record, kNow);
+  BOOST_TEST(one.digest() == two.digest());
+  BOOST_TEST(one.RecordsBeside(two.PartDigests()).empty());
+  BOOST_TEST(one.RecordsBeside({}).size() == 1000U);
+}
+
 BOOST_AUTO_TEST_CASE(ANewIncarnationUnderTheSameNameServesAgain) {
   ServerDirectory directory;
   directory.Merge(Record("a", 1, 9, ServerState::kDraining), kNow);
