gateway: Follow what servers say of themselves, and bound answers without end

A server that leaves says so in its answers; one that turns a call away may ask for time; bytes that are no answer may come until the caller closes. Change: a server's word that it leaves counts at once for that incarnation, at this entry, at control and so at the other entries; its streams move. A server that asked for time gets no call, repeat, carried stream or query until then; where all have asked, callers are refused at once with the time of the first. Ruled out: taking the word of whoever answers 421, which is another server.

--- a/include/coltsfootfork/core/gateway/gateway_metrics.h
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -22,6 +22,8 @@
   // This entry is about to end.
   kStopping,
   kNoRoom,
+  // All servers of the service have asked for time.
+  kServersPaused,
   kNotRun,
   // It may have run, and no whole answer came.
   kBroken,
@@ -48,6 +50,11 @@
   kCarriedByMove,
   kCarryRefused,
   kCarryLost,
+  // What servers said in their answers.
+  kServerSaidItLeaves,
+  kServerAskedForTime,
+  // Answers that came to more than they may, and were closed.
+  kAnswerWithoutEnd,
 };
 
 // The gateway's counters and its latency, as text for a metrics page.
--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -54,6 +54,8 @@
 struct ServerChoice {
   ServerId id;
   std::string address;
+  // The incarnation that is known.
+  std::uint64_t born = 0;
   // The prediction leaves room for the call.
   bool fits = true;
 };
@@ -81,6 +83,10 @@
   // The server could not be reached, or fell silent.
   void OnUnreachable(const ServerId& id, Time now);
 
+  // The server wants nothing from this entry until then. Only an incarnation
+  // that is still known is held to its word, and it has not failed.
+  void OnAskedPause(const ServerId& id, std::uint64_t born, Time until);
+
   // A good server that may get new calls, or nothing. One that the call fits is
   // preferred to any that it does not.
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
@@ -90,6 +96,11 @@
     return !Reachable(query, now).empty();
   }
 
+  // Where every server that could be chosen has asked for time: when the first
+  // of them takes calls again. Nothing where one can be chosen, or there is
+  // none.
+  std::optional<Time> PausedUntil(const ServerQuery& query, Time now) const;
+
   // A server for a running call that must leave `source`, drawn by the call's
   // name in proportion to the room there, mostly in the source's zone. Calls
   // that leave an engine together, at entries that do not know of each other,
@@ -99,8 +110,10 @@
                                          const ServerId& source,
                                          const RequestId& call, Time now) const;
 
-  // Whether the server may get new calls, by the directory.
-  bool IsServing(const ServerId& id) const;
+  // Whether the incarnation is known and has not begun to leave.
+  bool IsServing(const ServerId& id, std::uint64_t born) const;
+  // Whether the server has asked for time that is not over.
+  bool IsPaused(const ServerId& id, Time now) const;
   const ServerRecord* Find(const ServerId& id) const;
   FleetLoad OwnLoad() const;
 
@@ -113,6 +126,8 @@
     // When this entry heard that it leaves.
     Time leaving_since;
     Time avoid_until;
+    // It has asked for nothing new until then.
+    Time paused_until;
     Duration avoid{0};
     // Share of failed answers, lately.
     double failures = 0;
@@ -138,6 +153,7 @@
                       const ServerQuery& query, Time now);
   std::vector<const Server*> Reachable(const ServerQuery& query,
                                        Time now) const;
+  static bool Serves(const Server& server, const ServerQuery& query);
   double LoadOf(const Server& server, const ServerQuery& query, Time now) const;
   // The engines of the service that have begun to leave lately.
   std::vector<ServerRecord> LeavingNow(const ServiceId& service,
--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -36,6 +36,12 @@
       return "carry_refused";
     case GatewayCount::kCarryLost:
       return "carry_lost";
+    case GatewayCount::kServerSaidItLeaves:
+      return "server_said_it_leaves";
+    case GatewayCount::kServerAskedForTime:
+      return "server_asked_for_time";
+    case GatewayCount::kAnswerWithoutEnd:
+      return "answer_without_end";
   }
   return "unknown";
 }
@@ -60,6 +66,8 @@
       return "stopping";
     case CallOutcome::kNoRoom:
       return "no_room";
+    case CallOutcome::kServersPaused:
+      return "servers_paused";
     case CallOutcome::kNotRun:
       return "not_run";
     case CallOutcome::kBroken:
--- /dev/null
+++ b/src/core/gateway/held_answers.cc
@@ -0,0 +1,28 @@
+#include "coltsfootfork/core/gateway/held_answers.h"
+
+#include <algorithm>
+
+namespace coltsfootfork {
+namespace {
+
+// An answer may take up to a fourth of what is free: one that is large leaves
+// room for others, and n that grow alike end at an (n + 4)th of all each.
+constexpr std::size_t kPartOfFree = 4;
+
+}  // namespace
+
+bool HeldAnswers::Take(std::size_t held, std::size_t more) {
+  const std::size_t free =
+      options_.most_bytes - std::min(bytes_, options_.most_bytes);
+  const std::size_t allowed =
+      std::max(free / kPartOfFree, options_.always_bytes);
+  if (held + more > allowed) return false;
+  bytes_ += more;
+  return true;
+}
+
+void HeldAnswers::Release(std::size_t held) {
+  bytes_ -= std::min(bytes_, held);
+}
+
+}  // namespace coltsfootfork
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -143,6 +143,30 @@
   server.avoid_until = now + server.avoid;
 }
 
+void ServerBoard::OnAskedPause(const ServerId& id, std::uint64_t born,
+                               Time until) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || found->second.record.born != born) return;
+  Server& server = found->second;
+  server.paused_until = std::max(server.paused_until, until);
+}
+
+bool ServerBoard::IsPaused(const ServerId& id, Time now) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && now < found->second.paused_until;
+}
+
+std::optional<Time> ServerBoard::PausedUntil(const ServerQuery& query,
+                                             Time now) const {
+  std::optional<Time> first;
+  for (const auto& [id, server] : servers_) {
+    if (!Serves(server, query)) continue;
+    if (now >= server.paused_until) return std::nullopt;
+    first = std::min(first.value_or(server.paused_until), server.paused_until);
+  }
+  return first;
+}
+
 std::optional<ServerChoice> ServerBoard::Pick(const ServerQuery& query,
                                               Time now) {
   if (now >= shared_out_ + kShareOutAgain) ShareOut(now);
@@ -171,14 +195,14 @@
       [&](const Server* a, const Server* b) {
         return LoadOf(*a, query, now) < LoadOf(*b, query, now);
       });
-  return {chosen.record.id, chosen.record.address, fits};
+  return {chosen.record.id, chosen.record.address, chosen.record.born, fits};
 }
 
 ServerChoice ServerBoard::Choose(const RoundRobinPlacement& /*policy*/,
                                  Candidates candidates,
                                  const ServerQuery& /*query*/, Time /*now*/) {
   const Server& chosen = *candidates[next_turn_++ % candidates.size()];
-  return {chosen.record.id, chosen.record.address, true};
+  return {chosen.record.id, chosen.record.address, chosen.record.born, true};
 }
 
 ServerChoice ServerBoard::Choose(const FewestCallsPlacement& /*policy*/,
@@ -188,7 +212,13 @@
   const Server& chosen = **std::min_element(
       candidates.begin(), candidates.end(),
       [](const Server* a, const Server* b) { return a->calls() < b->calls(); });
-  return {chosen.record.id, chosen.record.address, true};
+  return {chosen.record.id, chosen.record.address, chosen.record.born, true};
+}
+
+bool ServerBoard::Serves(const Server& server, const ServerQuery& query) {
+  return server.record.state == ServerState::kReady &&
+         server.record.service == query.service &&
+         query.excluded.count(server.record.id) == 0;
 }
 
 std::vector<const ServerBoard::Server*> ServerBoard::Reachable(
@@ -196,10 +226,7 @@
   std::vector<const Server*> reachable;
   std::vector<const Server*> avoided;
   for (const auto& [id, server] : servers_) {
-    const bool serves = server.record.state == ServerState::kReady &&
-                        server.record.service == query.service &&
-                        query.excluded.count(id) == 0;
-    if (!serves) continue;
+    if (!Serves(server, query) || now < server.paused_until) continue;
     (now >= server.avoid_until ? reachable : avoided).push_back(&server);
   }
   // A server that is passed over still serves better than none.
@@ -228,7 +255,8 @@
     best_rank = rank;
   }
   if (best == nullptr) return std::nullopt;
-  return ServerChoice{best->record.id, best->record.address, true};
+  return ServerChoice{best->record.id, best->record.address, best->record.born,
+                      true};
 }
 
 std::vector<ServerRecord> ServerBoard::LeavingNow(const ServiceId& service,
@@ -255,9 +283,10 @@
   return weight;
 }
 
-bool ServerBoard::IsServing(const ServerId& id) const {
+bool ServerBoard::IsServing(const ServerId& id, std::uint64_t born) const {
   const ServerRecord* record = Find(id);
-  return record != nullptr && record->state == ServerState::kReady;
+  return record != nullptr && record->born == born &&
+         record->state == ServerState::kReady;
 }
 
 const ServerRecord* ServerBoard::Find(const ServerId& id) const {
--- a/src/shell/gateway/answer_parser.cc
+++ b/src/shell/gateway/answer_parser.cc
@@ -7,7 +7,7 @@
 
 // Streams have no end that is known ahead; memory is bounded by who takes the
 // bytes out.
-constexpr std::uint32_t kHeaderBytes = 64U << 10U;
+constexpr std::uint32_t kHeaderBytes = 32U << 10U;
 
 }  // namespace
 
--- a/src/shell/gateway/call_protocol.h
+++ b/src/shell/gateway/call_protocol.h
@@ -59,6 +59,10 @@
   RequestId id;
   // The server vouches for the answer.
   bool has_signature = false;
+  // The server that was asked for will not serve much longer.
+  bool is_leaving = false;
+  // For so long the server wants nothing from this process.
+  std::optional<std::chrono::milliseconds> asked_pause;
 };
 
 // Moves a running call's memory to another server.
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -55,6 +55,13 @@
   const PlanService* service = context_.plan->FindService(record->service);
   const auto endpoint = ParseEndpoint(record->address);
   if (service == nullptr || !service->engine || !endpoint) return;
+  if (context_.board.IsPaused(server, now)) {
+    for (const auto& weak : moving) {
+      const auto call = weak.lock();
+      if (call) call->MoveAfter(Duration(0));
+    }
+    return;
+  }
   HttpFetch(
       context_.io, *endpoint, context_.protocol.WriteRunsQuery(), kRunsTimeout,
       [this, moving, engine = *service->engine](const HttpFetchResult& result) {
@@ -131,6 +138,8 @@
   context_.metrics.Set("gateway_server_connections",
                        context_.pool.open_connections());
   context_.metrics.Set("gateway_entries", context_.entries);
+  context_.metrics.Set("gateway_held_answer_bytes",
+                       context_.held_answers.bytes());
   return context_.metrics.ToText();
 }
 
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/gateway/plan_index.h"
@@ -37,6 +39,13 @@
   FleetLoad OwnLoad() const { return context_.board.OwnLoad(); }
   FleetDemand OwnDemand(Time now) const { return context_.claims.Own(now); }
 
+  // `handler` hears which incarnation of a server has said, in an answer, that
+  // it leaves.
+  void OnServerWord(
+      std::function<void(const ServerId& server, std::uint64_t born)> handler) {
+    context_.on_leaving = std::move(handler);
+  }
+
   // From now on new streams that may not run twice are refused: they last as
   // long as a process has to stop, and would be cut.
   void BeginStop() { context_.stopping = true; }
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -15,8 +15,13 @@
 
 using std::chrono::milliseconds;
 
-// An answer that is not a stream is held until it is whole, up to this size.
-constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
+// An event of a stream is held until it is whole, up to this size.
+constexpr std::size_t kMaxEventBytes = 256U << 10U;
+// A stream has an event for each token at most. What is beyond twice that, and
+// this many more for comments and repeats, has no end.
+constexpr std::uint64_t kSpareEvents = 1024;
+// The most events of a call that names no number of tokens.
+constexpr std::uint64_t kMaxUncountedEvents = 1U << 20U;
 // A stream that its caller does not read is held up to this size; most streams
 // are far shorter as a whole.
 constexpr std::size_t kMaxBacklogBytes = 512U << 10U;
@@ -102,6 +107,9 @@
   const auto choice = context_.board.Pick(QueryForServer(now), now);
   if (!choice) {
     if (sends_ > 0 || ran_) return AfterSend(SendEnd::kNeverSent, now);
+    if (const auto pause = PauseLeft(now)) {
+      return Refuse({CallOutcome::kServersPaused, 503, pause});
+    }
     return Refuse({CallOutcome::kNoServer, 503, kRetryAfterRefusal});
   }
   const bool has_turn = context_.waiting_room.IsNext(service_->name, rank_);
@@ -120,6 +128,7 @@
   LegPlan leg;
   leg.server = choice.id;
   leg.address = choice.address;
+  leg.born = choice.born;
   leg.load = {1, tokens_, head_.prompt_tokens};
   leg.wish.server = choice.id;
   leg.wish.address = choice.address;
@@ -174,6 +183,7 @@
 }
 
 void GatewayCall::OnHead(const HttpResponse& head, const AnswerHead& facts) {
+  context_.held_answers.Release(std::exchange(held_bytes_, 0));
   answer_ = head;
   answer_facts_ = facts;
   streaming_ = IsStream(head);
@@ -195,20 +205,35 @@
 
 void GatewayCall::OnBody(std::string_view bytes) {
   if (streaming_) return ForwardEvents(bytes);
+  if (!context_.held_answers.Take(held_bytes_, bytes.size())) {
+    return EndEndless();
+  }
+  held_bytes_ += bytes.size();
   answer_.body += bytes;
-  if (answer_.body.size() <= kMaxAnswerBytes) return;
+}
+
+void GatewayCall::EndEndless() {
   leg_->Cancel();
-  OnEnd(ExchangeEnd::kBroken);
+  OnEnd(ExchangeEnd::kEndless);
+}
+
+bool GatewayCall::IsWithinBounds() const {
+  const std::uint64_t most = head_.max_output_tokens > 0
+                                 ? 2 * head_.max_output_tokens + kSpareEvents
+                                 : kMaxUncountedEvents;
+  return events_seen_ <= most && splitter_.rest().size() <= kMaxEventBytes;
 }
 
 void GatewayCall::ForwardEvents(std::string_view bytes) {
   std::string events;
   for (const StreamEvent& event : splitter_.Feed(bytes)) {
+    ++events_seen_;
     const bool known = event.id && last_event_ && *event.id <= *last_event_;
     if (known) continue;
     if (event.id) last_event_ = event.id;
     events += event.text;
   }
+  if (!IsWithinBounds()) return EndEndless();
   if (events.empty()) return;
   exchange_->WriteChunk(events);
   if (exchange_->backlog_bytes() > kMaxBacklogBytes) {
@@ -250,8 +275,11 @@
 void GatewayCall::OnEnd(ExchangeEnd end) {
   const Time now = MonotonicNow();
   const ServerId server = leg_->plan().server;
+  if (end == ExchangeEnd::kEndless) {
+    context_.metrics.Count(GatewayCount::kAnswerWithoutEnd);
+  }
   if (streaming_) return OnStreamEnd(end, now);
-  if (end == ExchangeEnd::kBroken) {
+  if (end != ExchangeEnd::kWhole) {
     context_.board.OnAnswered(server, /*failed=*/true);
     return AfterSend(SendEnd::kBroken, now);
   }
@@ -263,7 +291,8 @@
     return AfterSend(SendEnd::kBroken, now);
   }
   const bool failed = answer_.status >= kFirstServerError;
-  context_.board.OnAnswered(server, failed);
+  // One that asks for time has not failed.
+  context_.board.OnAnswered(server, failed && !answer_facts_.asked_pause);
   if (failed) return AfterSend(SendEnd::kServerError, now);
   Deliver();
 }
@@ -323,8 +352,10 @@
   }
   if (std::holds_alternative<DeliverFailure>(next)) return Deliver();
   const auto& answer = std::get<AnswerCaller>(next);
+  auto retry_after = answer.retry_after;
+  if (retry_after) retry_after = PauseLeft(now).value_or(*retry_after);
   Refuse({ran_ ? CallOutcome::kBroken : CallOutcome::kNotRun,
-          static_cast<int>(answer.status), answer.retry_after});
+          static_cast<int>(answer.status), retry_after});
 }
 
 void GatewayCall::Deliver() {
@@ -390,6 +421,7 @@
        {"tokens", std::to_string(tokens_)},
        {"plan", std::to_string(plan_->plan().version)}});
   LeaveWaiting();
+  context_.held_answers.Release(std::exchange(held_bytes_, 0));
   if (leg_) leg_->Cancel();
   if (next_leg_) next_leg_->Cancel();
   if (move_) move_->Abandon();
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -72,6 +72,8 @@
   // The call's rank among those that want room: within a rank, calls that can
   // still be in time come first.
   std::uint32_t Standing(Time now) const;
+  // Where all servers have asked for time: until the first takes calls again.
+  std::optional<std::chrono::milliseconds> PauseLeft(Time now) const;
   // The call no longer waits for room.
   void LeaveWaiting();
   void AfterSend(SendEnd end, Time now);
@@ -84,6 +86,10 @@
   void OnEnd(ExchangeEnd end);
   void OnStreamEnd(ExchangeEnd end, Time now);
   void ForwardEvents(std::string_view bytes);
+  // Whether the stream is still within what the call can come to.
+  bool IsWithinBounds() const;
+  // The answer has come to more than it may.
+  void EndEndless();
   // Keeps the times of the stream's events.
   void NoteEvents(Time now);
   // Counts more memory for a stream that becomes longer than expected.
@@ -154,12 +160,15 @@
   bool leaving_ = false;
 
   HttpResponse answer_;
+  // Of the answer's body, counted among the held answers.
+  std::size_t held_bytes_ = 0;
   AnswerHead answer_facts_;
   bool streaming_ = false;
   // The caller has the head of the answer.
   bool answer_begun_ = false;
   EventSplitter splitter_;
   std::optional<std::uint64_t> last_event_;
+  std::uint64_t events_seen_ = 0;
   // The present leg's stream ended while a carry-over is under way.
   bool leg_ended_ = false;
   bool over_ = false;
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <random>
 #include <vector>
 
@@ -94,7 +95,14 @@
 
 bool GatewayCall::TryFromWaiting(Time now) {
   const auto choice = context_.board.Pick(QueryForServer(now), now);
-  if (!choice || !choice->fits) return false;
+  if (!choice) {
+    // Who waits for servers that ask for time waits in vain.
+    const auto pause = PauseLeft(now);
+    if (!pause) return false;
+    Refuse({CallOutcome::kServersPaused, 503, pause});
+    return true;
+  }
+  if (!choice->fits) return false;
   LeaveWaiting();
   SendTo(*choice, now);
   return true;
@@ -117,4 +125,14 @@
   Refuse({CallOutcome::kNoRoom, 503, RetryAfterNoRoom(patience_end_ - now)});
 }
 
+std::optional<std::chrono::milliseconds> GatewayCall::PauseLeft(
+    Time now) const {
+  // Who comes back may be sent to any server.
+  ServerQuery query;
+  query.service = service_->name;
+  const auto until = context_.board.PausedUntil(query, now);
+  if (!until) return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(*until - now);
+}
+
 }  // namespace coltsfootfork
--- a/src/shell/gateway/gateway_call_carry.cc
+++ b/src/shell/gateway/gateway_call_carry.cc
@@ -80,10 +80,12 @@
 
 bool GatewayCall::CarryFromBackup(Time now) {
   const LegPlan& plan = leg_->plan();
-  if (next_leg_ || plan.backup.empty() ||
-      !context_.board.IsServing(plan.backup)) {
-    return false;
-  }
+  if (next_leg_ || plan.backup.empty()) return false;
+  const ServerRecord* backup = context_.board.Find(plan.backup);
+  const bool serves = backup != nullptr &&
+                      context_.board.IsServing(plan.backup, backup->born) &&
+                      !context_.board.IsPaused(plan.backup, now);
+  if (!serves) return false;
   CarrySource source{plan.backup_address, head_.id.value()};
   GoOnAt(plan.backup, plan.backup_address, source,
          GatewayCount::kCarriedFromBackup, now);
@@ -132,6 +134,12 @@
        {"at_source", result.at_source ? "true" : "false"},
        {"copy_ms", std::to_string(ToMilliseconds(result.copied_in))},
        {"stop_ms", std::to_string(ToMilliseconds(result.stopped_for))}});
+  const ServerId& to = result.at_source ? plan.server : target.id;
+  if (context_.board.IsPaused(to, now)) {
+    // Where the stream could go on, nothing is wanted.
+    leg_ended_ = true;
+    return OnCarryRefused(now);
+  }
   const CarrySource source{plan.address, result.handle};
   if (result.at_source) {
     return GoOnAt(plan.server, plan.address, source,
@@ -149,7 +157,9 @@
        {"to", server.value()},
        {"way", count == GatewayCount::kCarriedByMove ? "move" : "backup"},
        {"event", std::to_string(last_event_.value_or(0))}});
-  LegPlan plan = PlanLeg({server, address, true}, now);
+  const ServerRecord* record = context_.board.Find(server);
+  LegPlan plan = PlanLeg(
+      {server, address, record == nullptr ? 0 : record->born, true}, now);
   // Its memory holds the prompt already.
   plan.load.unread = 0;
   next_leg_ = std::make_shared<ServerLeg>(context_, std::move(plan));
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -2,12 +2,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <utility>
 
 #include "coltsfootfork/core/gateway/gateway_metrics.h"
+#include "coltsfootfork/core/gateway/held_answers.h"
 #include "coltsfootfork/core/gateway/output_book.h"
 #include "coltsfootfork/core/gateway/patience_book.h"
 #include "coltsfootfork/core/gateway/plan_index.h"
@@ -60,8 +62,11 @@
   WaitingRoom waiting_room;
   PatienceBook patience;
   OutputBook outputs;
+  HeldAnswers held_answers;
   GatewayMetrics metrics;
   std::mt19937_64 random;
+  // A server said in an answer that this incarnation of it leaves.
+  std::function<void(const ServerId& server, std::uint64_t born)> on_leaving;
   // Who waits in the room.
   std::map<WaitingRoom::Ticket, std::weak_ptr<GatewayCall>> waiting_calls;
   // The process ends soon: streams that may not run again are for others.
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -19,6 +19,12 @@
 // longest way between two zones and back.
 constexpr std::chrono::milliseconds kConnectTimeout{300};
 constexpr std::size_t kReadBytes = 16U << 10U;
+// Bytes that the parser has not taken yet: the head of a chunk or the fields
+// behind the last one, which have no bound of their own there.
+constexpr std::size_t kMaxUnparsedBytes = 96U << 10U;
+// Bytes of answers that belong to other calls, or are interim, before one of
+// this call: a few answers of a usual size.
+constexpr std::size_t kMaxSkippedBytes = 1U << 20U;
 // How long a server keeps an idle connection when it does not say.
 constexpr std::chrono::milliseconds kDefaultIdle{4000};
 // An idle connection is given up so long before the server closes it.
@@ -58,6 +64,7 @@
   busy_ = true;
   skipping_ = false;
   head_told_ = false;
+  skipped_bytes_ = 0;
   timer_.cancel();
   id_ = std::move(id);
   events_ = std::move(events);
@@ -128,12 +135,15 @@
     const bool had_head = parser_->is_header_done();
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
-    if (error && error != http::error::need_more) {
-      Fail();
+    const bool endless = error == http::error::header_limit ||
+                         (used == 0 && buffer_.size() > kMaxUnparsedBytes);
+    if (endless || (error && error != http::error::need_more)) {
+      Fail(endless ? ExchangeEnd::kEndless : ExchangeEnd::kBroken);
       return false;
     }
     if (!had_head && parser_->is_header_done() && !OnHead()) return false;
     const std::string body = parser_->TakeBody();
+    if (skipping_ && !Skip(used)) return false;
     if (!body.empty() && !skipping_) {
       // The exchange may be cancelled while its call is told.
       const auto handler = events_.on_body;
@@ -154,6 +164,13 @@
   return true;
 }
 
+bool ServerConnection::Skip(std::size_t bytes) {
+  skipped_bytes_ += bytes;
+  if (skipped_bytes_ <= kMaxSkippedBytes) return true;
+  Fail(ExchangeEnd::kEndless);
+  return false;
+}
+
 bool ServerConnection::OnHead() {
   const HttpResponse& head = parser_->head();
   const AnswerHead facts = protocol_.ReadAnswer(head);
@@ -187,10 +204,10 @@
   events.on_end(ExchangeEnd::kWhole);
 }
 
-void ServerConnection::Fail() {
+void ServerConnection::Fail(ExchangeEnd end) {
   ExchangeEvents events = std::move(events_);
   Close();
-  if (events.on_end) events.on_end(ExchangeEnd::kBroken);
+  if (events.on_end) events.on_end(end);
 }
 
 void ServerConnection::NoteKeepAlive() {
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -23,6 +23,8 @@
   kWhole = 0,
   // The connection broke, or what came is no answer.
   kBroken,
+  // What came is more than any answer's frame, or other answers without end.
+  kEndless,
 };
 
 // What one exchange tells its call. Called from the event loop, never from
@@ -73,8 +75,10 @@
   // Feeds what has arrived to the parser; true while the exchange goes on.
   bool Parse();
   bool OnHead();
+  // Passes over bytes that belong to another answer; false beyond the bound.
+  bool Skip(std::size_t bytes);
   void OnWhole();
-  void Fail();
+  void Fail(ExchangeEnd end = ExchangeEnd::kBroken);
   void NoteKeepAlive();
 
   boost::asio::ip::tcp::socket socket_;
@@ -93,6 +97,8 @@
   // The answer under way belongs to another call.
   bool skipping_ = false;
   bool head_told_ = false;
+  // What was passed over in this exchange.
+  std::size_t skipped_bytes_ = 0;
   Time idle_until_;
   Time idle_since_;
 };
--- a/src/shell/gateway/server_leg.cc
+++ b/src/shell/gateway/server_leg.cc
@@ -1,7 +1,11 @@
 #include "shell/gateway/server_leg.h"
 
+#include <string>
 #include <utility>
 
+#include "shell/clock/monotonic_now.h"
+#include "shell/log/event.h"
+
 namespace coltsfootfork {
 
 ServerLeg::ServerLeg(GatewayContext& context, LegPlan plan)
@@ -48,6 +52,7 @@
   ExchangeEvents events;
   events.on_head = [self = shared_from_this()](const HttpResponse& head,
                                                const AnswerHead& facts) {
+    self->NoteWord(facts, MonotonicNow());
     const auto handler = self->events_.on_head;
     if (handler) handler(head, facts);
   };
@@ -65,6 +70,28 @@
   connection_->Send(events_.request(), id_, std::move(events));
 }
 
+void ServerLeg::NoteWord(const AnswerHead& facts, Time now) {
+  if (facts.asked_pause) {
+    context_.metrics.Count(GatewayCount::kServerAskedForTime);
+    Log(LogLevel::kInfo, Event::kServerAskedForTime,
+        {{"server", plan_.server.value()},
+         {"born", std::to_string(plan_.born)},
+         {"call", id_.value()},
+         {"ms", std::to_string(facts.asked_pause->count())}});
+    context_.board.OnAskedPause(plan_.server, plan_.born,
+                                now + *facts.asked_pause);
+  }
+  const bool is_news = facts.is_leaving && context_.on_leaving &&
+                       context_.board.IsServing(plan_.server, plan_.born);
+  if (!is_news) return;
+  context_.metrics.Count(GatewayCount::kServerSaidItLeaves);
+  Log(LogLevel::kInfo, Event::kServerSaidItLeaves,
+      {{"server", plan_.server.value()},
+       {"born", std::to_string(plan_.born)},
+       {"call", id_.value()}});
+  context_.on_leaving(plan_.server, plan_.born);
+}
+
 void ServerLeg::Release() {
   hold_.Release();
   if (backup_hold_) backup_hold_->Release();
--- a/src/shell/gateway/server_leg.h
+++ b/src/shell/gateway/server_leg.h
@@ -18,6 +18,8 @@
 struct LegPlan {
   ServerId server;
   std::string address;
+  // The incarnation that is called.
+  std::uint64_t born = 0;
   // What the call takes there.
   ServerLoad load;
   // The server that keeps a copy, if any, and where it is.
@@ -62,6 +64,8 @@
 
  private:
   void OnConnected(std::shared_ptr<ServerConnection> connection);
+  // Takes in what the server says of itself in an answer.
+  void NoteWord(const AnswerHead& facts, Time now);
   void Release();
 
   GatewayContext& context_;
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -63,6 +63,8 @@
       {Event::kServerDraining, "server_draining"},
       {Event::kOrderRefused, "order_refused"},
       {Event::kServerFinding, "server_finding"},
+      {Event::kServerSaidItLeaves, "server_said_it_leaves"},
+      {Event::kServerAskedForTime, "server_asked_for_time"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
       {Event::kCallEnded, "call_ended"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -30,6 +30,8 @@
   kServerDraining = 4003,
   kOrderRefused = 4004,
   kServerFinding = 4005,
+  kServerSaidItLeaves = 4006,
+  kServerAskedForTime = 4007,
   kRequestRefused = 5001,
   kRequestIncomplete = 5002,
   kCallEnded = 5003,
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -70,8 +70,12 @@
   events.own_demand = [this] { return gateway_.OwnDemand(MonotonicNow()); };
   follower_ = std::make_unique<FleetFollower>(
       io,
-      FleetFollowerOptions{settings_.process, settings_.SeedAddresses(), seed},
+      FleetFollowerOptions{settings_.process, settings_.SeedAddresses(), seed,
+                           settings_.zone},
       std::move(events));
+  gateway_.OnServerWord([this](const ServerId& server, std::uint64_t born) {
+    follower_->OnServerWord(server, born, MonotonicNow());
+  });
   callers_ = std::make_unique<HttpServer>(
       io, ParseEndpoint(settings_.callers_listen).value(),
       LimitsOf(gateway_.limits()),
--- a/tests/core/gateway/server_board_test.cc
+++ b/tests/core/gateway/server_board_test.cc
@@ -69,7 +69,7 @@
     BOOST_REQUIRE(choice.has_value());
     BOOST_TEST(choice->id == ServerId("sb"));
   }
-  BOOST_TEST(!board.IsServing(ServerId("sa")));
+  BOOST_TEST(!board.IsServing(ServerId("sa"), /*born=*/1));
 }
 
 // Eight entries that all see the same, half a second old, place 16 calls in
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -33,7 +33,12 @@
           io, ParseEndpoint("127.0.0.1:0").value(), HttpLimits(),
           [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
             gateway.OnRequest(std::move(request), std::move(exchange));
-          }) {}
+          }) {
+  gateway.OnServerWord([this](const ServerId& server, std::uint64_t born) {
+    directory.MarkLeaving(server, born, MonotonicNow());
+    gateway.FollowServers(directory, MonotonicNow());
+  });
+}
 
 void GatewayFixture::Announce(const std::string& id, const std::string& address,
                               const std::string& service, ServerState state) {
--- /dev/null
+++ b/tests/platform/leaving_word_test.cc
@@ -0,0 +1,142 @@
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/gateway_fixture.h"
+#include "platform/platform_engine.h"
+#include "platform/scripted_server.h"
+#include "shell/clock/monotonic_now.h"
+
+// A server that leaves says so in its answers, perhaps before control hears of
+// it.
+namespace coltsfootfork {
+namespace {
+
+constexpr int kEvents = 60;
+constexpr int kCalls = 20;
+
+std::string IdOf(const std::string& request) {
+  const std::string name = "Request-Id: ";
+  const std::size_t at = request.find(name) + name.size();
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+ScriptedAnswer Leaving(const std::string& request, const std::string& status) {
+  return {"HTTP/1.1 " + status + "\r\nRequest-Id: " + IdOf(request) +
+          "\r\nResponse-Signature: s\r\nServer-Leaving: 1\r\n"
+          "Content-Length: 2\r\n\r\nok"};
+}
+
+void FetchSome(GatewayFixture& fixture) {
+  for (int i = 0; i < kCalls; ++i) {
+    fixture.Fetch(fixture.Request("/stock/1", "s" + std::to_string(i)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatSaysThatItLeavesGetsNothingNew) {
+  GatewayFixture fixture;
+  ScriptedServer leaving(fixture.io, [](const std::string& request, int) {
+    return Leaving(request, "200 OK");
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", leaving.address(), "ledger");
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status == 200);
+  PlatformEngine staying(fixture.io, "i-2");
+  fixture.Announce("i-2", staying.address(), "ledger");
+  FetchSome(fixture);
+  BOOST_TEST(leaving.requests().size() == 1U);
+  BOOST_TEST(staying.runs_begun() == kCalls);
+  BOOST_TEST(fixture.gateway.MetricsText().find("server_said_it_leaves\"} 1") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ALateHeartbeatDoesNotTakeTheWordBack) {
+  GatewayFixture fixture;
+  ScriptedServer leaving(fixture.io, [](const std::string& request, int) {
+    return Leaving(request, "200 OK");
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", leaving.address(), "ledger");
+  fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  fixture.Announce("i-1", leaving.address(), "ledger");
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r2"))->status == 503);
+  BOOST_TEST(leaving.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ALaterIncarnationOfTheServerIsFresh) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return Leaving(request, "200 OK");
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  ServerRecord later = fixture.directory.Find(ServerId("i-1"))->record;
+  later.born += 1;
+  later.sequence = 1;
+  later.state = ServerState::kReady;
+  fixture.directory.Merge(later, MonotonicNow());
+  fixture.gateway.FollowServers(fixture.directory, MonotonicNow());
+  BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r2"))->status == 200);
+  BOOST_TEST(server.requests().size() == 2U);
+}
+
+// Another server took the address over: its word is about itself.
+BOOST_AUTO_TEST_CASE(TheWordOfAnotherServerAtTheAddressCountsForNothing) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    return Leaving(request, "421 Misdirected Request");
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  fixture.Fetch(fixture.Request("/sale/1", "r2"));
+  BOOST_TEST(server.requests().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RunningStreamsMoveAtTheServersWord) {
+  GatewayFixture fixture;
+  std::vector<std::unique_ptr<PlatformEngine>> engines;
+  std::vector<PlatformEngine*> all;
+  for (const char* id : {"i-1", "i-2", "i-3"}) {
+    engines.push_back(std::make_unique<PlatformEngine>(fixture.io, id));
+    all.push_back(engines.back().get());
+  }
+  fixture.SetPlan();
+  for (PlatformEngine* engine : all) {
+    engine->SetPeers(all);
+    engine->SetEvents(kEvents);
+    fixture.Announce(engine->id(), engine->address(), "model");
+  }
+  const auto stream = fixture.Start(fixture.StreamRequest("/talk/1", "r1"));
+  PlatformEngine* source = nullptr;
+  fixture.RunUntil([&] {
+    for (PlatformEngine* engine : all) {
+      if (engine->running() > 0) source = engine;
+    }
+    return source != nullptr;
+  });
+  for (int i = 0; i < kEvents; ++i) fixture.io.run_one();
+  source->SetLeaving(true);
+  const int begun = source->runs_begun();
+  // Some call gets the word from the stream's engine.
+  for (int i = 0; source->runs_begun() == begun && i < 50; ++i) {
+    fixture.Start(fixture.StreamRequest("/verdict/1", "v" + std::to_string(i)));
+    fixture.io.run_one();
+    fixture.io.poll();
+  }
+  fixture.RunUntil([&] { return stream->has_value(); });
+  BOOST_REQUIRE((*stream)->response.has_value());
+  std::vector<int> ids(kEvents);
+  for (int i = 0; i < kEvents; ++i) ids[i] = i + 1;
+  BOOST_TEST(EventIds((*stream)->response->body) == ids);
+  int carried = 0;
+  for (const PlatformEngine* engine : all) carried += engine->runs_carried();
+  BOOST_TEST(carried >= 1);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- a/tests/platform/platform_engine.cc
+++ b/tests/platform/platform_engine.cc
@@ -97,8 +97,9 @@
     ++runs_begun_;
     ++runs_by_call_[call];
   }
-  const std::vector<HttpField> fields = {{"Request-Id", call},
-                                         {"Response-Signature", "by-" + id_}};
+  std::vector<HttpField> fields = {{"Request-Id", call},
+                                   {"Response-Signature", "by-" + id_}};
+  if (leaving_) fields.push_back({"Server-Leaving", "1"});
   if (request.Field("Token-Counts").empty()) {
     return exchange->Respond(
         {200, "text/plain", fields,
--- a/tests/platform/platform_engine.h
+++ b/tests/platform/platform_engine.h
@@ -34,6 +34,8 @@
   }
   // Turns down every new call as not run, and runs it all the same.
   void SetLying(bool lying) { lying_ = lying; }
+  // Says in all its answers that it leaves.
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
   // Plain answers name their call as well.
   void SetNamesCalls(bool names) { names_calls_ = names; }
   // Breaks off all streams without their end, as a crash does.
@@ -72,6 +74,7 @@
   int events_ = 20;
   bool full_ = false;
   bool lying_ = false;
+  bool leaving_ = false;
   bool names_calls_ = false;
   std::string address_;
   std::vector<PlatformEngine*> peers_;
