gateway: Hold calls while an entry starts, and draw servers of the own zone first

And of five zones, three servers drawn at random hold none of the own in half of the draws, so that most streams crossed zones. Change: a call that comes in the first three seconds of an entry is held until plan and servers are known, a fourth of its caller's time and 1.8 s at the most; start_hold sets it, zero is the former way. Three servers are drawn of the own zone and three of the others, with the same weight between them. Ruled out: a faster first election; a voter that has just started may have promised its lease to a leader that still serves. Conclusion: refusing at the start cost the window after a final fault.

--- a/include/coltsfootfork/core/gateway/server_board.h
+++ b/include/coltsfootfork/core/gateway/server_board.h
@@ -144,6 +144,8 @@
   };
 
   using Candidates = std::vector<const Server*>;
+  // A few by lot, of the own zone and of the others.
+  Candidates Draw(Candidates candidates);
   // The policies' choices among servers of which there is at least one.
   ServerChoice Choose(const DrawnPlacement& policy, Candidates candidates,
                       const ServerQuery& query, Time now);
--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <utility>
 
 namespace coltsfootfork {
@@ -16,9 +17,10 @@
 // Prompts that are still to be read count more than memory: a call waits for
 // them, and only fears full memory.
 constexpr double kUnreadWeight = 4;
-// Servers that are drawn to choose from. Two already spread well (the power of
-// two choices); three find room more often when much is full.
-constexpr std::size_t kDrawn = 3;
+// Servers of the own zone, and as many of others, that are drawn to choose
+// from. Two already spread well (the power of two choices); three find room
+// more often when much is full.
+constexpr std::ptrdiff_t kDrawn = 3;
 // A full engine may still have room for a stream that must move: predicted
 // peaks are not reached together.
 constexpr double kLeastRefugeWeight = 0.05;
@@ -188,8 +190,7 @@
       [&](const Server* one) { return Fits(*one, query, urgent_part); });
   const bool fits = first_unfit != candidates.begin();
   if (fits) candidates.erase(first_unfit, candidates.end());
-  std::shuffle(candidates.begin(), candidates.end(), random_);
-  candidates.resize(std::min(candidates.size(), kDrawn));
+  candidates = Draw(std::move(candidates));
   const Server& chosen = **std::min_element(
       candidates.begin(), candidates.end(),
       [&](const Server* a, const Server* b) {
@@ -198,6 +199,21 @@
   return {chosen.record.id, chosen.record.address, chosen.record.born, fits};
 }
 
+ServerBoard::Candidates ServerBoard::Draw(Candidates candidates) {
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  const auto first_far = std::partition(
+      candidates.begin(), candidates.end(),
+      [&](const Server* one) { return one->record.zone == options_.zone; });
+  Candidates drawn;
+  const auto draw = [&](auto from, auto to) {
+    const auto count = std::min<std::ptrdiff_t>(to - from, kDrawn);
+    drawn.insert(drawn.end(), from, from + count);
+  };
+  draw(candidates.begin(), first_far);
+  draw(first_far, candidates.end());
+  return drawn;
+}
+
 ServerChoice ServerBoard::Choose(const RoundRobinPlacement& /*policy*/,
                                  Candidates candidates,
                                  const ServerQuery& /*query*/, Time /*now*/) {
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -25,6 +25,7 @@
 
 void Gateway::SetPlan(std::shared_ptr<const RoutingPlan> plan) {
   context_.plan = std::make_shared<const PlanIndex>(std::move(plan));
+  ResumeHeld(MonotonicNow());
 }
 
 void Gateway::FollowServers(const ServerDirectory& directory, Time now) {
@@ -41,6 +42,16 @@
     context_.pool.Drop(id);
     OnServerLeaving(id, now);
   }
+  ResumeHeld(now);
+}
+
+void Gateway::ResumeHeld(Time now) {
+  // Those that still lack something are held again, in the same order.
+  const auto held = std::exchange(context_.held_calls, {});
+  for (const auto& weak : held) {
+    if (const auto call = weak.lock()) call->Resume(now);
+  }
+  StartWaitTimer();
 }
 
 void Gateway::OnServerLeaving(const ServerId& server, Time now) {
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -63,6 +63,8 @@
   // long enough.
   void ServeWaiting(Time now);
   void StartWaitTimer();
+  // Lets the calls go on that were held until the entry knows enough.
+  void ResumeHeld(Time now);
 
   GatewayContext context_;
   std::map<std::uint64_t, std::shared_ptr<GatewayCall>> calls_;
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -78,12 +78,19 @@
 
 void GatewayCall::Start(Time now) {
   head_ = context_.protocol.ReadCall(request_);
-  if (const auto refusal = FindRoute()) return Refuse(*refusal);
-  ChooseService();
-  StartDeadline(now);
   exchange_->OnCallerGone([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnCallerGone();
   });
+  Admit(now);
+}
+
+void GatewayCall::Admit(Time now) {
+  if (const auto refusal = FindRoute()) {
+    if (refusal->outcome == CallOutcome::kNoPlan && Hold(now)) return;
+    return Refuse(*refusal);
+  }
+  ChooseService();
+  StartDeadline(now);
   context_.budget.CountFirst(service_->name, now);
   if (service_->engine) {
     context_.claims.OnArrival(service_->name, Standing(now), tokens_, now);
@@ -94,8 +101,8 @@
 void GatewayCall::StartDeadline(Time now) {
   const milliseconds patience = head_.patience.value_or(route_->timeout);
   age_ = context_.patience.AgeOf(route_->name, patience);
-  patience_end_ = now + patience;
-  deadline_ = now + std::min(patience, route_->timeout);
+  patience_end_ = arrived_ + patience;
+  deadline_ = arrived_ + std::min(patience, route_->timeout);
   timer_.expires_after(deadline_ - now);
   timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
     const auto self = weak.lock();
@@ -110,6 +117,7 @@
     if (const auto pause = PauseLeft(now)) {
       return Refuse({CallOutcome::kServersPaused, 503, pause});
     }
+    if (Hold(now)) return;
     return Refuse({CallOutcome::kNoServer, 503, kRetryAfterRefusal});
   }
   const bool has_turn = context_.waiting_room.IsNext(service_->name, rank_);
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -31,6 +31,8 @@
               std::function<void()> on_over);
 
   void Start(Time now);
+  // The plan or the servers have changed since the call was held.
+  void Resume(Time now);
   // A waiting call finds out whether there is room now.
   bool TryFromWaiting(Time now);
   // The waiting call's time is over.
@@ -50,6 +52,10 @@
   };
 
   // Admission.
+  void Admit(Time now);
+  // Holds the call while the entry knows too little to serve it; false where
+  // that is of no use.
+  bool Hold(Time now);
   std::optional<Refusal> FindRoute();
   // Set for what an entry that stops should not begin.
   std::optional<Refusal> RefusalOfStopping() const;
@@ -134,6 +140,8 @@
   Duration age_{0};
   Time deadline_;
   Time patience_end_;
+  // Until when the call may be held, once it is.
+  std::optional<Time> held_until_;
 
   // The plan that was in force when the call came.
   std::shared_ptr<const PlanIndex> plan_;
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -13,6 +13,8 @@
 
 // Without ranks, none is the most urgent.
 constexpr std::uint32_t kRankOfAll = 1;
+// Of a caller that does not say how long it waits, before its route is known.
+constexpr std::chrono::milliseconds kPatienceUntold{4000};
 
 }  // namespace
 
@@ -61,6 +63,33 @@
                                     head_.expected_output_tokens);
 }
 
+bool GatewayCall::Hold(Time now) {
+  if (!held_until_) {
+    held_until_ =
+        arrived_ + StartHoldFor(context_.options.start_hold,
+                                arrived_ - context_.started,
+                                head_.patience.value_or(kPatienceUntold));
+  }
+  if (now >= *held_until_) return false;
+  context_.held_calls.push_back(weak_from_this());
+  move_timer_.expires_after(*held_until_ - now);
+  move_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self) self->Resume(MonotonicNow());
+      });
+  return true;
+}
+
+void GatewayCall::Resume(Time now) {
+  if (over_) return;
+  move_timer_.cancel();
+  // One that has its route keeps the plan that it is of.
+  if (route_ != nullptr) return SendToBest(now);
+  plan_ = context_.plan;
+  Admit(now);
+}
+
 Time GatewayCall::InTimeUntil() const {
   return arrived_ - age_ + LongestWait(rank_, route_->latency_goal);
 }
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "coltsfootfork/core/gateway/gateway_metrics.h"
 #include "coltsfootfork/core/gateway/held_answers.h"
@@ -16,7 +17,9 @@
 #include "coltsfootfork/core/gateway/repeat_budget.h"
 #include "coltsfootfork/core/gateway/room_claims.h"
 #include "coltsfootfork/core/gateway/server_board.h"
+#include "coltsfootfork/core/gateway/start_hold.h"
 #include "coltsfootfork/core/gateway/waiting_room.h"
+#include "shell/clock/monotonic_now.h"
 #include "shell/gateway/call_protocol.h"
 #include "shell/gateway/connection_pool.h"
 
@@ -27,6 +30,7 @@
 struct GatewayOptions {
   ServerBoardOptions board;
   RepeatBudgetOptions budget;
+  StartHoldOptions start_hold;
   // Whether urgent calls go first; else all are served as they come.
   bool use_ranks = true;
   // Whether streams are carried over to another engine when theirs leaves.
@@ -67,6 +71,11 @@
   std::mt19937_64 random;
   // A server said in an answer that this incarnation of it leaves.
   std::function<void(const ServerId& server, std::uint64_t born)> on_leaving;
+  // When this process began to serve.
+  Time started = MonotonicNow();
+  // Calls that are held until the plan and the servers are known, in the order
+  // in which they came.
+  std::vector<std::weak_ptr<GatewayCall>> held_calls;
   // Who waits in the room.
   std::map<WaitingRoom::Ticket, std::weak_ptr<GatewayCall>> waiting_calls;
   // The process ends soon: streams that may not run again are for others.
--- a/tests/core/gateway/server_board_test.cc
+++ b/tests/core/gateway/server_board_test.cc
@@ -246,6 +246,36 @@
   }
 }
 
+// Bytes between zones have a price: with five zones of equal servers, a call
+// stays in its own while there is room as good.
+BOOST_AUTO_TEST_CASE(CallsStayInTheirZoneWhileItHasRoom) {
+  constexpr int kZones = 5;
+  constexpr int kServersOfZone = 6;
+  constexpr int kCalls = 60;
+  ServerDirectory directory;
+  for (int i = 0; i < kZones * kServersOfZone; ++i) {
+    ServerRecord record =
+        Record("s" + std::to_string(i), i % kZones == 0 ? "z" : "far");
+    record.address = "10.0.0.1:" + std::to_string(1000 + i);
+    directory.Merge(record, kNow);
+  }
+  ServerBoard board = Board(directory);
+  const EngineProfile engine = Engine();
+  const auto place = [&](int calls) {
+    int home = 0;
+    for (int i = 0; i < calls; ++i) {
+      const auto choice = board.Pick(Query(engine, 300), kNow);
+      board.Begin(choice->id, {1, 300, 0});
+      if (board.Find(choice->id)->zone == ZoneId("z")) ++home;
+    }
+    return home;
+  };
+  // Up to a load that is a tenth of a full one above the others'.
+  BOOST_TEST(place(kServersOfZone) == kServersOfZone);
+  // The own zone is filled no further than the others by much.
+  BOOST_TEST(place(kCalls) < kCalls / 2);
+}
+
 // Nine streams leave an engine together, each at an entry that does not know of
 // the others.
 BOOST_AUTO_TEST_CASE(StreamsThatMoveTogetherSpread) {
--- /dev/null
+++ b/tests/platform/start_hold_test.cc
@@ -0,0 +1,80 @@
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/gateway_fixture.h"
+#include "platform/platform_engine.h"
+
+// What callers get from an entry that has just started.
+namespace coltsfootfork {
+namespace {
+
+bool HasOpenCalls(const GatewayFixture& fixture, std::size_t count) {
+  return fixture.gateway.open_calls() == count;
+}
+
+BOOST_AUTO_TEST_CASE(CallsBeforeThePlanAreServedOnceItIsThere) {
+  constexpr std::size_t kCalls = 10;
+  GatewayFixture fixture;
+  PlatformEngine server(fixture.io, "i-1");
+  std::vector<std::shared_ptr<std::optional<HttpFetchResult>>> calls;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    calls.push_back(
+        fixture.Start(fixture.Request("/sale/1", "r" + std::to_string(i))));
+  }
+  fixture.RunUntil([&] { return HasOpenCalls(fixture, kCalls); });
+  fixture.SetPlan();
+  // The plan alone is not enough.
+  BOOST_TEST(fixture.gateway.open_calls() == kCalls);
+  fixture.Announce("i-1", server.address(), "ledger");
+  for (const auto& call : calls) {
+    fixture.RunUntil([&] { return call->has_value(); });
+    BOOST_REQUIRE((*call)->response.has_value());
+    BOOST_TEST((*call)->response->status == 200);
+  }
+  BOOST_TEST(server.runs_begun() == static_cast<int>(kCalls));
+}
+
+BOOST_AUTO_TEST_CASE(AStreamIsHeldAndThenPlaced) {
+  GatewayFixture fixture;
+  PlatformEngine engine(fixture.io, "i-1");
+  const auto stream = fixture.Start(fixture.StreamRequest("/talk/1", "r1"));
+  fixture.RunUntil([&] { return HasOpenCalls(fixture, 1); });
+  fixture.Announce("i-1", engine.address(), "model");
+  fixture.SetPlan();
+  fixture.RunUntil([&] { return stream->has_value(); });
+  BOOST_REQUIRE((*stream)->response.has_value());
+  BOOST_TEST((*stream)->response->status == 200);
+  BOOST_TEST(EventIds((*stream)->response->body).size() == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(ACallThatIsHeldInVainIsToldThatItHasNotRun) {
+  GatewayFixture fixture;
+  const auto answer = fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status == 503);
+  BOOST_TEST(FieldOf(*answer, "Retry-After") != "");
+}
+
+BOOST_AUTO_TEST_CASE(WithoutTheHoldCallsAreRefusedAtOnce) {
+  GatewayOptions options;
+  options.start_hold.longest = std::chrono::milliseconds(0);
+  GatewayFixture fixture(options);
+  const auto call = fixture.Start(fixture.Request("/sale/1", "r1"));
+  fixture.RunUntil([&] { return call->has_value(); });
+  BOOST_TEST((*call)->response->status == 503);
+}
+
+// What is not allowed is told when the plan is there, not taken for a failure.
+BOOST_AUTO_TEST_CASE(AHeldCallIsStillHeldToThePlan) {
+  GatewayFixture fixture;
+  const auto call = fixture.Start(fixture.Request("/none/1", "r1"));
+  fixture.RunUntil([&] { return HasOpenCalls(fixture, 1); });
+  fixture.SetPlan();
+  fixture.RunUntil([&] { return call->has_value(); });
+  BOOST_TEST((*call)->response->status == 404);
+}
+
+}  // namespace
+}  // namespace coltsfootfork
