gateway: Send a held call once when its time ends as the servers come

Cause: the end of a held call's time was queued in the event loop when the directory came and the call was sent; its handler then sent it once more. Ruled out: a second place in the list of held calls; a repeat by the policy (the two sends are 1 ms apart, the first had no answer yet). Change: a call goes on only while it is held.

--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -142,6 +142,8 @@
   Time patience_end_;
   // Until when the call may be held, once it is.
   std::optional<Time> held_until_;
+  // It is held now. The end of its time may be due already when it goes on.
+  bool held_ = false;
 
   // The plan that was in force when the call came.
   std::shared_ptr<const PlanIndex> plan_;
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <chrono>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "shell/clock/monotonic_now.h"
@@ -71,6 +72,7 @@
                                 head_.patience.value_or(kPatienceUntold));
   }
   if (now >= *held_until_) return false;
+  held_ = true;
   context_.held_calls.push_back(weak_from_this());
   move_timer_.expires_after(*held_until_ - now);
   move_timer_.async_wait(
@@ -82,7 +84,7 @@
 }
 
 void GatewayCall::Resume(Time now) {
-  if (over_) return;
+  if (over_ || !std::exchange(held_, false)) return;
   move_timer_.cancel();
   // One that has its route keeps the plan that it is of.
   if (route_ != nullptr) return SendToBest(now);
--- a/tests/platform/start_hold_test.cc
+++ b/tests/platform/start_hold_test.cc
@@ -5,6 +5,7 @@
 
 #include "platform/gateway_fixture.h"
 #include "platform/platform_engine.h"
+#include "shell/clock/monotonic_now.h"
 
 // What callers get from an entry that has just started.
 namespace coltsfootfork {
@@ -66,6 +67,34 @@
   BOOST_TEST((*call)->response->status == 503);
 }
 
+// Scored on jclra-rota-grown, trouble-3: the time of a held call was over, and
+// known to be, when the servers came that it was sent to; then it was sent once
+// more.
+BOOST_AUTO_TEST_CASE(ACallWhoseHoldEndsAsTheServersComeIsSentOnce) {
+  constexpr std::chrono::milliseconds kHold(60);
+  GatewayOptions options;
+  options.start_hold.longest = kHold;
+  GatewayFixture fixture(options);
+  PlatformEngine server(fixture.io, "i-1");
+  fixture.SetPlan();
+  const auto first = fixture.Start(fixture.Request("/sale/1", "r1"));
+  const auto second = fixture.Start(fixture.Request("/sale/1", "r2"));
+  fixture.RunUntil([&] { return HasOpenCalls(fixture, 2); });
+  // Both times are over before the loop learns of it, and both ends are due
+  // when the first of them is carried out.
+  const Time over = MonotonicNow() + 2 * kHold;
+  while (MonotonicNow() < over) {
+  }
+  fixture.RunUntil([&] { return HasOpenCalls(fixture, 1); });
+  fixture.Announce("i-1", server.address(), "ledger");
+  fixture.RunUntil([&] { return first->has_value() && second->has_value(); });
+  for (int i = 0; i < 20; ++i) fixture.io.poll();
+  BOOST_TEST(server.runs_begun() <= 1);
+  for (const auto& [call, runs] : server.runs_by_call()) {
+    BOOST_TEST(runs == 1, call);
+  }
+}
+
 // What is not allowed is told when the plan is there, not taken for a failure.
 BOOST_AUTO_TEST_CASE(AHeldCallIsStillHeldToThePlan) {
   GatewayFixture fixture;
