--- a/src/core/gateway/server_board.cc
+++ b/src/core/gateway/server_board.cc
@@ -23,7 +23,7 @@
 constexpr std::ptrdiff_t kDrawn = 3;
 // A full engine may still have room for a stream that must move: predicted
 // peaks are not reached together.
-constexpr double kLeastRefugeWeight = 0.005;
+constexpr double kLeastRefugeWeight = 0.05;
 // A copy to another zone takes twice as long.
 constexpr double kOtherZoneWeight = 0.05;
 // A server that takes the calls of another leaving engine is the last resort.
@@ -293,8 +293,7 @@
   if (query.engine != nullptr && query.engine->memory_tokens > 0) {
     const double used = static_cast<double>(server.tokens()) /
                         static_cast<double>(query.engine->memory_tokens);
-    const double free = std::max(1 - used, 0.0);
-    weight = std::max(weight, free * free);
+    weight = std::max(weight, 1 - used);
   }
   if (server.record.zone != zone) weight *= kOtherZoneWeight;
   return weight;
