--- a/include/coltsfootfork/core/gateway/admission.h
+++ b/include/coltsfootfork/core/gateway/admission.h
@@ -25,13 +25,6 @@
 // preempts others for them. `goal` is the route's latency goal.
 Duration LongestWait(std::uint32_t rank, std::chrono::milliseconds goal);
 
-// How much later a call counts as come while it waits for room. In a burst the
-// room of one large call serves two small ones, so that more callers are
-// answered in time; what is set back is passed by those alone that come within
-// this. `part` is the part of an engine's memory that the call takes.
-Duration SetBackOf(std::uint32_t rank, std::chrono::milliseconds goal,
-                   double part);
-
 // When a caller that waited in vain should come back: most callers honour up to
 // a third of the time that they have left, and come back once.
 std::chrono::milliseconds RetryAfterNoRoom(Duration patience_left);
--- a/include/coltsfootfork/core/gateway/waiting_room.h
+++ b/include/coltsfootfork/core/gateway/waiting_room.h
@@ -19,8 +19,7 @@
 //
 // Within a rank, calls that can still be answered in time go before those that
 // cannot: where more comes than servers can do, a queue in the order of arrival
-// alone would make all of them late. Among these a call may be set back, so
-// that others which come a little later and need less go first.
+// alone would make all of them late.
 class WaitingRoom {
  public:
   using Ticket = std::uint64_t;
@@ -31,8 +30,6 @@
     Time in_time;
     // Then it has waited in vain.
     Time end;
-    // It stands as if it had come so much later.
-    Duration set_back{0};
   };
 
   Ticket Enter(const ServiceId& service, std::uint32_t rank,
@@ -51,21 +48,18 @@
 
   std::size_t size() const { return places_.size(); }
   std::size_t WaitingFor(const ServiceId& service) const;
-  // Whether a call that comes now would be the first of its service, if it
-  // stands as one that has come at `standing`.
-  bool IsNext(const ServiceId& service, std::uint32_t rank,
-              Time standing = Time::max()) const;
+  // Whether a call that comes now would be the first of its service.
+  bool IsNext(const ServiceId& service, std::uint32_t rank) const;
 
  private:
   struct Place {
     ServiceId service;
     std::uint32_t rank = 0;
     Window window;
-    Time standing;
     bool is_late = false;
   };
-  // Rank, lateness, standing and arrival.
-  using Order = std::tuple<std::uint32_t, bool, Time, Ticket>;
+  // Rank, lateness and arrival.
+  using Order = std::tuple<std::uint32_t, bool, Ticket>;
 
   static Order OrderOf(const Place& place, Ticket ticket);
   // Calls that can no longer be in time go behind those that can.
--- a/src/core/gateway/waiting_room.cc
+++ b/src/core/gateway/waiting_room.cc
@@ -5,15 +5,14 @@
 namespace coltsfootfork {
 
 WaitingRoom::Order WaitingRoom::OrderOf(const Place& place, Ticket ticket) {
-  return {place.rank, place.is_late, place.standing, ticket};
+  return {place.rank, place.is_late, ticket};
 }
 
 WaitingRoom::Ticket WaitingRoom::Enter(const ServiceId& service,
                                        std::uint32_t rank, const Window& window,
                                        Time now) {
   const Ticket ticket = next_ticket_++;
-  const Place place{service, rank, window, now + window.set_back,
-                    now >= window.in_time};
+  const Place place{service, rank, window, now >= window.in_time};
   places_[ticket] = place;
   queues_[service].insert(OrderOf(place, ticket));
   return ticket;
@@ -70,11 +69,10 @@
   return queue == queues_.end() ? 0 : queue->second.size();
 }
 
-bool WaitingRoom::IsNext(const ServiceId& service, std::uint32_t rank,
-                         Time standing) const {
+bool WaitingRoom::IsNext(const ServiceId& service, std::uint32_t rank) const {
   const auto queue = queues_.find(service);
   if (queue == queues_.end()) return true;
-  return Order(rank, false, standing, next_ticket_) < *queue->second.begin();
+  return Order(rank, false, next_ticket_) < *queue->second.begin();
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -74,8 +74,6 @@
   std::string WriteRequest(const LegPlan& leg,
                            const std::optional<CarrySource>& carry);
   ServerQuery QueryForServer(Time now) const;
-  // See SetBackOf; nothing for a call of a plain service.
-  Duration SetBack() const;
   // Until then the call may be placed and still be answered in time.
   Time InTimeUntil() const;
   // The call's rank among those that want room: within a rank, calls that can
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -96,15 +96,6 @@
   return arrived_ - age_ + LongestWait(rank_, route_->latency_goal);
 }
 
-Duration GatewayCall::SetBack() const {
-  if (!service_->engine || service_->engine->memory_tokens == 0) {
-    return Duration(0);
-  }
-  return SetBackOf(rank_, route_->latency_goal,
-                   static_cast<double>(tokens_) /
-                       static_cast<double>(service_->engine->memory_tokens));
-}
-
 std::uint32_t GatewayCall::Standing(Time now) const {
   return 2 * rank_ + (now >= InTimeUntil() ? 1 : 0);
 }
@@ -127,7 +118,6 @@
   window.in_time = InTimeUntil();
   window.end =
       std::min(arrived_ + LongestWait(rank_, route_->latency_goal), deadline_);
-  window.set_back = SetBack();
   ticket_ = context_.waiting_room.Enter(service_->name, rank_, window, now);
   context_.waiting_calls[*ticket_] = weak_from_this();
   waiting_standing_ = Standing(now);
