--- a/tests/core/gateway/move_schedule_test.cc
+++ b/tests/core/gateway/move_schedule_test.cc
@@ -90,6 +90,7 @@
 
 BOOST_AUTO_TEST_CASE(StopsComeWithinTheNotice) {
   std::vector<RunningCall> runs;
+  runs.reserve(6);
   for (int i = 0; i < 6; ++i) runs.push_back(Run(std::to_string(i), 3300));
   const MoveSchedule schedule(runs, Engine());
   for (const RunningCall& run : runs) {
--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -161,6 +161,7 @@
   fixture.SetPlan();
   fixture.Announce("i-1", server.address(), "ledger");
   std::vector<std::shared_ptr<std::optional<HttpFetchResult>>> calls;
+  calls.reserve(kCalls);
   for (int i = 0; i < kCalls; ++i) {
     calls.push_back(
         fixture.Start(fixture.Request("/order/1", "r" + std::to_string(i))));
