tests: Cut answers between chunks, and spread a server's word to all entries

Cause: two points without a test of their own: an answer that only the missing last chunk shows to be cut, and what one entry hears of a server reaching the others. Ruled out: nothing was wrong; both pass on the code as it is. Result: platform_gateway and platform_control pass.

--- a/tests/platform/control_test.cc
+++ b/tests/platform/control_test.cc
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
@@ -240,6 +241,48 @@
       group.Call(3, "POST", "/api/instances/i-1/deregister", "").status == 200);
 }
 
+// What a server says to one entry's call, all entries and control hear of.
+BOOST_AUTO_TEST_CASE(AServersWordToOneEntryReachesTheOthers) {
+  Group group(3, 3);
+  group.PutUntilTaken(0, 5);
+  const auto follow = [&](const std::string& name, int control) {
+    FleetFollowerEvents events;
+    events.on_plan = [](const PlanDocument&) {};
+    events.on_directory = [](const ServerDirectory&) {};
+    events.on_load = [](const FleetLoad&, const FleetDemand&, std::uint32_t) {};
+    events.own_load = [] { return FleetLoad(); };
+    events.own_demand = [] { return FleetDemand(); };
+    return std::make_unique<FleetFollower>(
+        group.io, FleetFollowerOptions{name, {group.nodes[control].address}, 3},
+        std::move(events));
+  };
+  const auto one = follow("entry-1", 0);
+  const auto two = follow("entry-2", 1);
+  BOOST_TEST(group.Heartbeat(2, "i-1", 1, "ready") == 200);
+  const ServerId id("i-1");
+  const auto state_at = [&](const FleetFollower& follower) {
+    return follower.directory().Find(id)->record.state;
+  };
+  group.RunUntil([&] {
+    return one->has_synced() && two->has_synced() &&
+           one->directory().Find(id) != nullptr &&
+           two->directory().Find(id) != nullptr;
+  });
+  // Of another incarnation nothing is known.
+  one->OnServerWord(id, /*born=*/999, MonotonicNow());
+  BOOST_CHECK(state_at(*one) == ServerState::kReady);
+  one->OnServerWord(id, /*born=*/1000, MonotonicNow());
+  BOOST_CHECK(state_at(*one) == ServerState::kDraining);
+  group.RunUntil([&] { return state_at(*two) == ServerState::kDraining; });
+  group.RunUntil([&] {
+    return std::all_of(
+        group.nodes.begin(), group.nodes.end(), [&](const Node& node) {
+          return node.control->directory().Find(id)->record.state ==
+                 ServerState::kDraining;
+        });
+  });
+}
+
 // Found by the fault soak (seeds 200 and 427): a control process whose disk
 // could not be written at the first start had a replica that no group counted
 // and that knew no leader, and refused every change and read for good.
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -203,6 +203,35 @@
   BOOST_TEST(fixture.Fetch(fixture.Request("/sale/1", "r1"))->status == 502);
 }
 
+// Cut where one chunk ends: nothing but the missing last chunk shows it.
+BOOST_AUTO_TEST_CASE(AnAnswerCutBetweenTwoChunksIsNoSuccess) {
+  for (const char* path : {"/sale/1", "/talk/1"}) {
+    const bool stream = std::string(path) == "/talk/1";
+    GatewayFixture fixture;
+    ScriptedServer server(fixture.io, [&](const std::string& request, int) {
+      const std::string type = stream ? "text/event-stream" : "text/plain";
+      const std::string event = "id: 1\ndata: x\n\n";
+      return ScriptedAnswer{
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + IdOf(request) +
+              "\r\nResponse-Signature: s\r\nContent-Type: " + type +
+              "\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n",
+          true, false};
+    });
+    fixture.SetPlan();
+    fixture.Announce("i-1", server.address(), stream ? "model" : "ledger");
+    const auto answer = fixture.Fetch(stream ? fixture.StreamRequest(path, "r1")
+                                             : fixture.Request(path, "r1"));
+    // A stream that had begun is cut off for its caller as well.
+    if (stream) {
+      BOOST_TEST(!answer.has_value());
+    } else {
+      BOOST_REQUIRE(answer.has_value());
+      BOOST_TEST(answer->status == 502);
+    }
+    BOOST_TEST(server.requests().size() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(BytesThatAreNoAnswerAreNotHandedOn) {
   GatewayFixture fixture;
   ScriptedServer server(fixture.io, [](const std::string&, int) {
