--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -210,11 +210,11 @@
     GatewayFixture fixture;
     ScriptedServer server(fixture.io, [&](const std::string& request, int) {
       const std::string type = stream ? "text/event-stream" : "text/plain";
-      const std::string event = "id: 1\ndata: x\n\n";
       return ScriptedAnswer{
           "HTTP/1.1 200 OK\r\nRequest-Id: " + IdOf(request) +
               "\r\nResponse-Signature: s\r\nContent-Type: " + type +
-              "\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n",
+              "\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "f\r\nid: 1\ndata: x\n\n\r\n",
           true, false};
     });
     fixture.SetPlan();
