tests: Let the calls of two tests end before their fixture does

Cause: two new tests ended with calls in flight; LeakSanitizer counted 197 allocations that the destroyed event loop held. Seen in the sanitizer run of platform_gateway. Ruled out: a leak of ended calls, which the other 43 cases would show. Change: both tests wait for their calls, and check that none is open.

--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -187,7 +187,7 @@
   PlatformEngine sound(fixture.io, "i-2");
   fixture.SetPlan();
   fixture.Announce("i-1", endless.address(), "ledger");
-  fixture.Start(fixture.Request("/order/1", "r1"));
+  const auto without_end = fixture.Start(fixture.Request("/order/1", "r1"));
   fixture.RunUntil([&] { return endless.bytes_sent() > 0; });
   fixture.Announce("i-2", sound.address(), "ledger");
   int served = 0;
@@ -198,6 +198,9 @@
   }
   BOOST_TEST(served >= sound.runs_begun());
   BOOST_TEST(served > 0);
+  fixture.RunUntil(
+      [&] { return without_end->has_value() && endless.closed() == 1; });
+  BOOST_TEST(fixture.gateway.open_calls() == 0U);
 }
 
 // A byte now and then is no progress of an answer: the route's timeout ends it.
--- a/tests/platform/leaving_word_test.cc
+++ b/tests/platform/leaving_word_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,8 +124,10 @@
   source->SetLeaving(true);
   const int begun = source->runs_begun();
   // Some call gets the word from the stream's engine.
+  std::vector<std::shared_ptr<std::optional<HttpFetchResult>>> others;
   for (int i = 0; source->runs_begun() == begun && i < 50; ++i) {
-    fixture.Start(fixture.StreamRequest("/verdict/1", "v" + std::to_string(i)));
+    others.push_back(fixture.Start(
+        fixture.StreamRequest("/verdict/1", "v" + std::to_string(i))));
     fixture.io.run_one();
     fixture.io.poll();
   }
@@ -136,6 +139,11 @@
   int carried = 0;
   for (const PlatformEngine* engine : all) carried += engine->runs_carried();
   BOOST_TEST(carried >= 1);
+  for (const auto& other : others) {
+    fixture.RunUntil([&] { return other->has_value(); });
+    BOOST_TEST((*other)->response.has_value());
+  }
+  fixture.RunUntil([&] { return fixture.gateway.open_calls() == 0; });
 }
 
 }  // namespace
