--- a/src/shell/fleet/fleet_follower.h
+++ b/src/shell/fleet/fleet_follower.h
@@ -87,7 +87,8 @@
     bool current = false;
     Time up_since;
     MismatchWatch mismatch;
-    // Since when the control process has counted this entry's load.
+    // What all entries take and want, as the control process tells, and this
+    // entry's reports of which the sum may include the last or an earlier one.
     HeardUse all;
     std::deque<SentReport> reports;
     std::uint64_t next_report = 1;
