--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -343,7 +343,11 @@
       continue;
     }
     Log(LogLevel::kInfo, Event::kLinkDown,
-        {{"peer", incoming->second.peer}, {"direction", "incoming"}});
+        {{"peer", incoming->second.peer},
+         {"direction", "incoming"},
+         {"reason", "timeout"},
+         {"incomplete_bytes",
+          std::to_string(incoming->second.link->incomplete_bytes())}});
     incoming->second.link->Close();
     incoming = incoming_links_.erase(incoming);
   }
--- a/src/shell/fleet/control_subscriber.cc
+++ b/src/shell/fleet/control_subscriber.cc
@@ -68,7 +68,11 @@
       const bool not_current =
           !subscription.current &&
           now >= subscription.stale_since + kNotCurrentTimeout;
-      if (timed_out || not_current) DropUnhealthy(i, now);
+      if (timed_out) {
+        DropUnhealthy(i, "timeout", now);
+      } else if (not_current) {
+        DropUnhealthy(i, "not_current", now);
+      }
     }
     if (!subscription.link) Connect(i, now);
     Report(i);
@@ -142,19 +146,26 @@
   };
   events.on_disconnected = [this, index, attempt] {
     if (subscriptions_[index].attempt == attempt) {
-      DropUnhealthy(index, MonotonicNow());
+      DropUnhealthy(index, "disconnected", MonotonicNow());
     }
   };
   subscription.link = FrameLink::Connect(io_, *endpoint, std::move(events));
 }
 
-void ControlSubscriber::DropUnhealthy(std::size_t index, Time now) {
+void ControlSubscriber::DropUnhealthy(std::size_t index, const char* reason,
+                                      Time now) {
   Subscription& subscription = subscriptions_[index];
+  const auto link = std::exchange(subscription.link, nullptr);
   Log(LogLevel::kInfo, Event::kLinkDown,
       {{"peer", subscription.address},
-       {"current", subscription.current ? "true" : "false"}});
+       {"current", subscription.current ? "true" : "false"},
+       {"reason", reason},
+       {"silent_ms",
+        link ? std::to_string(ToMilliseconds(now - link->last_received()))
+             : std::string()},
+       {"incomplete_bytes",
+        link ? std::to_string(link->incomplete_bytes()) : std::string()}});
   selector_.OnUnhealthy(subscription.address, now);
-  const auto link = std::exchange(subscription.link, nullptr);
   if (link) link->Close();
   subscription.attempt = 0;
   subscription.address.clear();
@@ -166,7 +177,7 @@
   if (!message) {
     Log(LogLevel::kWarning, Event::kLinkRefused,
         {{"peer", subscriptions_[index].address}, {"reason", "damaged_frame"}});
-    return DropUnhealthy(index, now);
+    return DropUnhealthy(index, "malformed_frame", now);
   }
   if (const auto* update = std::get_if<EntryUpdate>(&*message)) {
     return OnUpdate(index, *update, now);
@@ -177,7 +188,7 @@
   if (const auto* usage = std::get_if<UsageReport>(&*message)) {
     // A malformed report is not applied; a new link starts with a full report.
     if (!subscriptions_[index].total_usage.Apply(*usage)) {
-      DropUnhealthy(index, now);
+      DropUnhealthy(index, "malformed_usage", now);
     }
     return;
   }
--- a/src/shell/fleet/control_subscriber.h
+++ b/src/shell/fleet/control_subscriber.h
@@ -112,7 +112,8 @@
   void Send(Subscription& subscription, const FleetMessage& message);
   void OnDirectoryUpdate(const DirectoryUpdate& directory_update, Time now);
   void Report(std::size_t index);
-  void DropUnhealthy(std::size_t index, Time now);
+  // `reason` is for the log.
+  void DropUnhealthy(std::size_t index, const char* reason, Time now);
   std::size_t PrimaryIndex() const;
 
   boost::asio::io_context& io_;
--- a/src/shell/fleet/frame_link.cc
+++ b/src/shell/fleet/frame_link.cc
@@ -1,5 +1,6 @@
 #include "shell/fleet/frame_link.h"
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -119,8 +120,14 @@
 
 void FrameLink::ReadFrame(std::size_t size) {
   incoming_.resize(size);
-  asio::async_read(socket_, asio::buffer(incoming_),
+  const auto count_bytes = [self = shared_from_this()](error_code error,
+                                                       std::size_t received) {
+    self->incomplete_bytes_ = received;
+    return asio::transfer_all()(error, received);
+  };
+  asio::async_read(socket_, asio::buffer(incoming_), count_bytes,
                    [self = shared_from_this()](error_code error, std::size_t) {
+                     self->incomplete_bytes_ = 0;
                      if (self->closed_) return;
                      if (error) return self->Disconnect();
                      self->last_received_ = MonotonicNow();
--- a/src/shell/fleet/frame_link.h
+++ b/src/shell/fleet/frame_link.h
@@ -45,6 +45,8 @@
   bool is_connected() const { return connected_; }
   // When the last frame was received, or the link was connected.
   Time last_received() const { return last_received_; }
+  // Bytes received of a frame that is not complete yet.
+  std::size_t incomplete_bytes() const { return incomplete_bytes_; }
 
  private:
   void OnConnected();
@@ -58,6 +60,7 @@
   Events events_;
   std::array<unsigned char, 4> length_{};
   std::string incoming_;
+  std::size_t incomplete_bytes_ = 0;
   std::deque<std::string> outgoing_;
   std::size_t outgoing_bytes_ = 0;
   bool connected_ = false;
