--- a/include/coltsfootfork/core/fleet/fleet_message.h
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -23,6 +23,8 @@
   // A control process's address, or an entry's name.
   std::string from;
   bool is_entry = false;
+  // The process can reassemble messages that are sent in parts.
+  bool accepts_parts = false;
 };
 
 // The state of a control process, broadcast to all others a few times a second.
@@ -43,6 +45,8 @@
   std::uint64_t directory_digest = 0;
   // The newest committed routing plan of the process.
   std::uint64_t plan_version = 0;
+  // See Hello.
+  bool accepts_parts = false;
 };
 
 struct ReplicaPayload {
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -43,6 +43,7 @@
 void Fields(A& archive, Hello& m) {
   archive("from", m.from);
   archive("is_entry", m.is_entry);
+  archive("parts", m.accepts_parts);
 }
 
 template <typename A>
@@ -56,6 +57,7 @@
   archive("peers", m.peers);
   archive("directory", m.directory_digest);
   archive("plan", m.plan_version);
+  archive("parts", m.accepts_parts);
 }
 
 template <typename A>
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -151,6 +151,7 @@
     if (hello->is_entry) {
       incoming.entry = Entry();
       incoming.entry->link = incoming.link;
+      if (hello->accepts_parts) incoming.link->AllowParts();
       // The entry itself requests the missing part of the directory.
       Send(*incoming.link, LivePeers(now));
     } else {
@@ -197,7 +198,8 @@
     Log(LogLevel::kInfo, Event::kLinkUp,
         {{"peer", peer}, {"direction", "outgoing"}});
     peers_[peer].full_usage_sent = false;
-    SendTo(peer, Hello{options_.self, false});
+    SendTo(peer,
+           Hello{options_.self, /*is_entry=*/false, /*accepts_parts=*/true});
   };
   // A peer sends its messages on the link that it opened itself.
   events.on_frame = [](const std::string& /*frame*/) {};
@@ -225,13 +227,14 @@
 
 void ControlNode::Send(FrameLink& link, const EncodedMessage& message) {
   traffic_.Count(message);
-  link.Send(message.bytes);
+  link.Send(message.bytes, message.priority);
 }
 
 void ControlNode::On(const std::string& from, ControlDigest digest, Time now) {
   for (const std::string& peer : digest.peers) AddPeer(peer);
   for (const std::string& voter : digest.voters) AddPeer(voter);
   Peer& peer = peers_[from];
+  if (peer.link && digest.accepts_parts) peer.link->AllowParts();
   if (!replica_ || !replica_->is_running()) quorum_.SetVoters(digest.voters);
   const bool differs = digest.directory_digest != directory_.digest();
   if (!differs) quorum_.OnInSync(from, now);
@@ -293,6 +296,7 @@
   }
   digest.directory_digest = directory_.digest();
   digest.plan_version = plan_.version;
+  digest.accepts_parts = true;
   return digest;
 }
 
--- a/src/shell/fleet/control_subscriber.cc
+++ b/src/shell/fleet/control_subscriber.cc
@@ -137,7 +137,8 @@
     subscribed.total_usage = UsageReceiver();
     subscribed.sent_reports.clear();
     subscribed.next_report = 1;
-    Send(subscribed, Hello{options_.name, true});
+    Send(subscribed,
+         Hello{options_.name, /*is_entry=*/true, /*accepts_parts=*/true});
     Send(subscribed, DirectorySyncRequest{directory_.BucketDigests()});
     Report(index);
   };
@@ -261,7 +262,7 @@
                              const FleetMessage& message) {
   const EncodedMessage encoded(message);
   traffic_.Count(encoded);
-  subscription.link->Send(encoded.bytes);
+  subscription.link->Send(encoded.bytes, encoded.priority);
 }
 
 void ControlSubscriber::OnDirectoryUpdate(
--- a/src/shell/fleet/fleet_traffic.h
+++ b/src/shell/fleet/fleet_traffic.h
@@ -6,16 +6,24 @@
 #include <string>
 
 #include "coltsfootfork/core/fleet/fleet_message.h"
+#include "shell/fleet/frame_link.h"
 
 namespace coltsfootfork {
 
+// Returns kBulk for messages that may be large and that other messages may
+// overtake. Usage reports, for example, must arrive in order.
+FramePriority PriorityOf(const FleetMessage& message);
+
 // A message encoded once for all its recipients.
 struct EncodedMessage {
   explicit EncodedMessage(const FleetMessage& message)
-      : kind(message.index()), bytes(EncodeFleetMessage(message)) {}
+      : kind(message.index()),
+        bytes(EncodeFleetMessage(message)),
+        priority(PriorityOf(message)) {}
 
   std::size_t kind;
   std::string bytes;
+  FramePriority priority;
 };
 
 // Counts the messages and bytes that a process sends, by message type.
--- a/src/shell/fleet/frame_link.h
+++ b/src/shell/fleet/frame_link.h
@@ -15,8 +15,15 @@
 
 namespace coltsfootfork {
 
+enum class FramePriority : std::uint8_t {
+  kNormal = 0,
+  // Sent in parts, between which frames of normal priority overtake it.
+  kBulk,
+};
+
 // A TCP connection between two processes of a fleet that carries
-// length-prefixed frames. Used in place of a WebSocket; docs/design/platform.md
+// length-prefixed frames. Frames of one priority arrive in the order in which
+// they were sent. Used in place of a WebSocket; docs/design/platform.md
 // compares the cost of both.
 class FrameLink : public std::enable_shared_from_this<FrameLink> {
  public:
@@ -39,11 +46,15 @@
 
   // Drops the frame if the link is not connected, since senders repeat
   // important messages. Disconnects a peer that does not read.
-  void Send(const std::string& frame);
+  void Send(const std::string& frame,
+            FramePriority priority = FramePriority::kNormal);
+  // The peer can reassemble frames that are sent in parts. Until this is known,
+  // bulk frames are sent whole.
+  void AllowParts() { parts_allowed_ = true; }
   void Close();
 
   bool is_connected() const { return connected_; }
-  // When the last frame was received, or the link was connected.
+  // When the last frame or part of one was received, or the link was connected.
   Time last_received() const { return last_received_; }
   // Bytes received of a frame that is not complete yet.
   std::size_t incomplete_bytes() const { return incomplete_bytes_; }
@@ -52,17 +63,28 @@
   void OnConnected();
   void Disconnect();
   void ReadLength();
-  void ReadFrame(std::size_t size);
+  void ReadFrame(std::size_t size, bool is_part, bool is_last);
+  void OnFrame(std::string frame);
+  void OnPart(const std::string& part, bool is_last);
   void WriteNext();
+  // Moves the next part of the first bulk frame to `outgoing_`.
+  void TakeBulkPart();
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   Events events_;
   std::array<unsigned char, 4> length_{};
   std::string incoming_;
+  // Received parts of a bulk frame.
+  std::string incoming_parts_;
   std::size_t incomplete_bytes_ = 0;
+  // Frames and parts with their headers; the first one is being written.
   std::deque<std::string> outgoing_;
+  std::deque<std::string> outgoing_bulk_;
+  // Bytes of the first bulk frame that were moved to `outgoing_`.
+  std::size_t bulk_offset_ = 0;
   std::size_t outgoing_bytes_ = 0;
+  bool parts_allowed_ = false;
   bool connected_ = false;
   bool closed_ = false;
   Time last_received_;
--- a/src/shell/net/socket_options.cc
+++ b/src/shell/net/socket_options.cc
@@ -16,6 +16,7 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbeCount = 2;
+constexpr int kMaxUnsentBytes = 16 * 1024;
 
 }  // namespace
 
@@ -32,4 +33,11 @@
   socket.set_option(TcpOption<TCP_KEEPCNT>(kKeepAliveProbeCount), ignored);
 }
 
+void LimitUnsentBytes(asio::ip::tcp::socket& socket) {
+  // Errors are ignored: without this option messages only wait longer behind
+  // bytes that the system has buffered.
+  boost::system::error_code ignored;
+  socket.set_option(TcpOption<TCP_NOTSENT_LOWAT>(kMaxUnsentBytes), ignored);
+}
+
 }  // namespace coltsfootfork
--- a/src/shell/net/socket_options.h
+++ b/src/shell/net/socket_options.h
@@ -10,4 +10,8 @@
 // three seconds.
 void SetLinkOptions(boost::asio::ip::tcp::socket& socket);
 
+// Limits the bytes that the kernel buffers before it sends them, so that the
+// application still decides on the order of messages on a slow connection.
+void LimitUnsentBytes(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace coltsfootfork
