--- a/include/coltsfootfork/core/gateway/load_balancer.h
+++ b/include/coltsfootfork/core/gateway/load_balancer.h
@@ -14,6 +14,7 @@
 #include "coltsfootfork/core/gateway/headroom_allocator.h"
 #include "coltsfootfork/core/gateway/placement_policy.h"
 #include "coltsfootfork/core/gateway/routing_plan.h"
+#include "coltsfootfork/core/gateway/server_rate_limiter.h"
 #include "coltsfootfork/core/types/ids.h"
 #include "coltsfootfork/core/types/time.h"
 
@@ -87,6 +88,12 @@
   void OnBackoffRequested(const ServerId& id, std::uint64_t incarnation,
                           Time until);
 
+  // Records the rate limit that a response of the incarnation named, if any;
+  // `sent_at` is when its request was sent. Returns true if the limit changed.
+  // Ignored if the incarnation is not the current one.
+  bool OnRateLimit(const ServerId& id, std::uint64_t incarnation,
+                   std::optional<double> per_second, Time sent_at, Time now);
+
   // Returns a healthy server for a new call, or nothing if there is none.
   // Prefers servers with capacity for the call.
   std::optional<ServerChoice> Pick(const ServerQuery& query, Time now);
@@ -131,6 +138,7 @@
     Time ejected_until;
     // End of the back-off that the server requested.
     Time backoff_until;
+    ServerRateLimiter rate_limiter;
     Duration ejection_time{0};
     // Moving average of failed calls, from 0 to 1.
     double failure_ratio = 0;
@@ -188,6 +196,8 @@
 
   LoadBalancerOptions options_;
   std::map<ServerId, Server> servers_;
+  // Number of entries that share the servers.
+  std::uint32_t entry_count_ = 1;
   std::mt19937_64 random_;
   // Counter of RoundRobinPlacement.
   std::size_t next_round_robin_ = 0;
--- a/src/core/gateway/load_balancer.cc
+++ b/src/core/gateway/load_balancer.cc
@@ -162,6 +162,19 @@
   server.backoff_until = std::max(server.backoff_until, until);
 }
 
+bool LoadBalancer::OnRateLimit(const ServerId& id, std::uint64_t incarnation,
+                               std::optional<double> per_second, Time sent_at,
+                               Time now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() ||
+      found->second.record.incarnation != incarnation) {
+    return false;
+  }
+  std::uniform_real_distribution<double> uniform(0, 1);
+  return found->second.rate_limiter.OnResponse(
+      per_second, sent_at, uniform(random_), entry_count_, now);
+}
+
 bool LoadBalancer::IsBackingOff(const ServerId& id, Time now) const {
   const auto found = servers_.find(id);
   return found != servers_.end() && now < found->second.backoff_until;
--- /dev/null
+++ b/src/core/gateway/server_rate_limiter.cc
@@ -0,0 +1,53 @@
+#include "coltsfootfork/core/gateway/server_rate_limiter.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace coltsfootfork {
+namespace {
+
+// Only a response shows that a limit has ended, so a server that accepts less
+// still gets a request now and then.
+constexpr double kMinPerSecond = 0.2;
+
+}  // namespace
+
+bool ServerRateLimiter::OnResponse(std::optional<double> per_second,
+                                   Time sent_at, double phase,
+                                   std::uint32_t entries, Time now) {
+  if (!per_second && (!per_second_ || sent_at <= named_at_)) return false;
+  const bool changed = per_second != per_second_;
+  if (!per_second) {
+    per_second_.reset();
+    return true;
+  }
+  named_at_ = now;
+  if (!changed) return false;
+  const bool was_limited = per_second_.has_value();
+  const Duration old_interval = was_limited ? Interval(entries) : Duration(0);
+  per_second_ = per_second;
+  const Duration interval = Interval(entries);
+  if (!was_limited) {
+    next_send_ = now + std::chrono::duration_cast<Duration>(interval * phase);
+  } else if (next_send_ > now) {
+    const double scale = std::chrono::duration<double>(interval) /
+                         std::chrono::duration<double>(old_interval);
+    next_send_ =
+        now + std::chrono::duration_cast<Duration>(
+                  std::chrono::duration<double>(next_send_ - now) * scale);
+  }
+  return true;
+}
+
+void ServerRateLimiter::OnSend(std::uint32_t entries, Time now) {
+  if (!per_second_) return;
+  next_send_ = std::max(next_send_, now) + Interval(entries);
+}
+
+Duration ServerRateLimiter::Interval(std::uint32_t entries) const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::max<std::uint32_t>(entries, 1) /
+                                    std::max(*per_second_, kMinPerSecond)));
+}
+
+}  // namespace coltsfootfork
--- a/src/shell/gateway/backend_attempt.cc
+++ b/src/shell/gateway/backend_attempt.cc
@@ -50,6 +50,7 @@
   }
   connection_ = std::move(connection);
   sent_ = true;
+  sent_at_ = MonotonicNow();
   ExchangeEvents events;
   events.on_head = [self = shared_from_this()](const HttpResponse& head,
                                                const ResponseHead& facts) {
@@ -82,6 +83,7 @@
     context_.balancer.OnBackoffRequested(plan_.server, plan_.incarnation,
                                          now + *facts.requested_backoff);
   }
+  ProcessRateLimit(facts, now);
   const bool is_new_drain_notice =
       facts.is_draining && context_.on_drain_notice &&
       context_.balancer.IsServing(plan_.server, plan_.incarnation);
@@ -94,6 +96,20 @@
   context_.on_drain_notice(plan_.server, plan_.incarnation);
 }
 
+void BackendAttempt::ProcessRateLimit(const ResponseHead& facts, Time now) {
+  if (facts.is_misdirected) return;
+  const bool changed = context_.balancer.OnRateLimit(
+      plan_.server, plan_.incarnation, facts.rate_limit, sent_at_, now);
+  if (!changed) return;
+  Log(LogLevel::kInfo, Event::kServerRateLimit,
+      {{"server", plan_.server.value()},
+       {"born", std::to_string(plan_.incarnation)},
+       {"call", id_.value()},
+       {"per_second",
+        facts.rate_limit ? std::to_string(*facts.rate_limit) : "none"},
+       {"entries", std::to_string(context_.entry_count)}});
+}
+
 void BackendAttempt::Release() {
   reservation_.Release();
   if (backup_reservation_) backup_reservation_->Release();
--- a/src/shell/gateway/backend_attempt.h
+++ b/src/shell/gateway/backend_attempt.h
@@ -66,8 +66,9 @@
 
  private:
   void OnConnected(std::shared_ptr<ServerConnection> connection);
-  // Handles a back-off request or a drain notice in a response.
+  // Handles a back-off request, a rate limit or a drain notice in a response.
   void ProcessServerNotices(const ResponseHead& facts, Time now);
+  void ProcessRateLimit(const ResponseHead& facts, Time now);
   void Release();
 
   GatewayContext& context_;
@@ -80,6 +81,7 @@
   std::shared_ptr<ServerConnection> connection_;
   bool cancelled_ = false;
   bool sent_ = false;
+  Time sent_at_;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/call_protocol.h
+++ b/src/shell/gateway/call_protocol.h
@@ -63,8 +63,13 @@
   bool has_signature = false;
   // Drain notice: the addressed server will shut down soon.
   bool is_draining = false;
+  // Another server responded than the one that was addressed.
+  bool is_misdirected = false;
   // How long this process is to send no requests to the server.
   std::optional<std::chrono::milliseconds> requested_backoff;
+  // Requests per second that the server accepts from all entries together;
+  // nullopt if it names no limit.
+  std::optional<double> rate_limit;
 };
 
 // Request to a server to copy the memory of a running call to another server.
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -66,6 +66,7 @@
       {Event::kServerFinding, "server_finding"},
       {Event::kServerSaidItLeaves, "server_said_it_leaves"},
       {Event::kServerAskedForTime, "server_asked_for_time"},
+      {Event::kServerRateLimit, "server_rate_limit"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
       {Event::kCallEnded, "call_ended"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -32,6 +32,7 @@
   kServerFinding = 4005,
   kServerSaidItLeaves = 4006,
   kServerAskedForTime = 4007,
+  kServerRateLimit = 4008,
   kRequestRefused = 5001,
   kRequestIncomplete = 5002,
   kCallEnded = 5003,
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -15,8 +15,6 @@
 
 using nlohmann::json;
 
-constexpr std::uint64_t kSeed = 5;
-
 json Route(const std::string& prefix, const std::string& kind,
            const std::string& service, int attempts, int timeout_ms) {
   return {{"name", prefix},          {"host", "a.example"},
@@ -27,8 +25,8 @@
 
 }  // namespace
 
-GatewayFixture::GatewayFixture(GatewayOptions options)
-    : gateway(io, protocol, std::move(options), kSeed),
+GatewayFixture::GatewayFixture(GatewayOptions options, std::uint64_t seed)
+    : gateway(io, protocol, std::move(options), seed),
       callers(
           io, ParseEndpoint("127.0.0.1:0").value(), HttpLimits(),
           [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -17,7 +17,7 @@
 // A gateway that listens for callers and forwards to stand-in servers, all in
 // one event loop.
 struct GatewayFixture {
-  explicit GatewayFixture(GatewayOptions options = {});
+  explicit GatewayFixture(GatewayOptions options = {}, std::uint64_t seed = 5);
 
   // Adds a server to the directory, or changes its state.
   void Announce(const std::string& id, const std::string& address,
--- a/tests/platform/platform_engine.cc
+++ b/tests/platform/platform_engine.cc
@@ -76,6 +76,7 @@
 
 void PlatformEngine::OnCall(const HttpRequest& request,
                             const std::shared_ptr<HttpExchange>& exchange) {
+  ++arrivals_;
   const std::string call = Text(request.Field("Request-Id"));
   const std::string expected = Text(request.Field("Expect-Instance"));
   if (!expected.empty() && expected != id_) {
@@ -87,8 +88,10 @@
   if (runs_rejected_calls_ && source.empty()) ++runs_by_call_[call];
   if ((source.empty() && (rejects_calls_ || runs_rejected_calls_)) ||
       (!source.empty() && !has_copy)) {
-    return exchange->Respond(
-        {503, "", {{"Request-Id", call}, {"Not-Executed", "1"}}, ""});
+    std::vector<HttpField> fields = {{"Request-Id", call},
+                                     {"Not-Executed", "1"}};
+    if (rate_limit_) fields.push_back({"Server-Limit", *rate_limit_});
+    return exchange->Respond({503, "", std::move(fields), ""});
   }
   last_request_ = request;
   if (has_copy) {
@@ -101,6 +104,7 @@
   std::vector<HttpField> fields = {{"Request-Id", call},
                                    {"Response-Signature", "by-" + id_}};
   if (draining_) fields.push_back({"Server-Leaving", "1"});
+  if (rate_limit_) fields.push_back({"Server-Limit", *rate_limit_});
   if (request.Field("Token-Counts").empty()) {
     return exchange->Respond(
         {200, "text/plain", fields,
--- a/tests/platform/platform_engine.h
+++ b/tests/platform/platform_engine.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,6 +42,10 @@
   }
   // Adds a drain notice to the response of every accepted call.
   void SetDraining(bool draining) { draining_ = draining; }
+  // Names the rate limit in every response, as written.
+  void SetRateLimit(std::optional<std::string> per_second) {
+    rate_limit_ = std::move(per_second);
+  }
   // Adds the id of the call to the body of a response that is not a stream.
   void SetEchoesCallId(bool echoes) { echoes_call_id_ = echoes; }
   // Aborts all streams, as a crash does.
@@ -52,6 +57,8 @@
   }
 
   // Number of runs that started here from the beginning, without a KV copy.
+  // Number of calls that arrived, including rejected ones.
+  int arrivals() const { return arrivals_; }
   int runs_started() const { return runs_started_; }
   int runs_migrated() const { return runs_migrated_; }
   // The same by id of the call, including rejected calls that ran nevertheless.
@@ -83,6 +90,8 @@
   bool runs_rejected_calls_ = false;
   bool draining_ = false;
   bool echoes_call_id_ = false;
+  std::optional<std::string> rate_limit_;
+  int arrivals_ = 0;
   std::string address_;
   std::vector<PlatformEngine*> peers_;
   std::map<std::string, std::shared_ptr<Run>> runs_;
