--- a/include/coltsfootfork/core/gateway/load_balancer.h
+++ b/include/coltsfootfork/core/gateway/load_balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -83,6 +84,13 @@
   // Ejects a server that could not be reached or timed out.
   void OnUnreachable(const ServerId& id, Time now);
 
+  // Sets the number of entries that share the servers. A lower number than one
+  // of the last half minute is ignored: entries that a control process has lost
+  // sight of still send.
+  void SetEntryCount(std::uint32_t count, Time now);
+
+  // Counts a request that is sent to the server against its rate limit.
+  void OnSend(const ServerId& id, Time now);
   // Records that the server requested back-off until `until`. This does not
   // count as a failure. Ignored if the incarnation is not the current one.
   void OnBackoffRequested(const ServerId& id, std::uint64_t incarnation,
@@ -104,8 +112,8 @@
   }
 
   // Returns when the first server accepts calls again if all eligible servers
-  // requested back-off. Returns nothing if a server accepts calls now or none
-  // is eligible.
+  // requested back-off or have reached their rate limit. Returns nothing if a
+  // server accepts calls now or none is eligible.
   std::optional<Time> EarliestBackoffEnd(const ServerQuery& query,
                                          Time now) const;
 
@@ -139,6 +147,11 @@
     // End of the back-off that the server requested.
     Time backoff_until;
     ServerRateLimiter rate_limiter;
+
+    // Returns when the server accepts a call of this entry.
+    Time accepts_at() const {
+      return std::max(backoff_until, rate_limiter.next_send());
+    }
     Duration ejection_time{0};
     // Moving average of failed calls, from 0 to 1.
     double failure_ratio = 0;
@@ -198,6 +211,8 @@
   std::map<ServerId, Server> servers_;
   // Number of entries that share the servers.
   std::uint32_t entry_count_ = 1;
+  // Until then a lower number of entries is ignored.
+  Time entry_count_until_;
   std::mt19937_64 random_;
   // Counter of RoundRobinPlacement.
   std::size_t next_round_robin_ = 0;
--- a/src/core/gateway/load_balancer.cc
+++ b/src/core/gateway/load_balancer.cc
@@ -38,6 +38,9 @@
 constexpr double kPerRoundShare = 1.0 / 3;
 // Maximum calls of a plain server per slot, including its queue.
 constexpr double kPlainServerCallsPerSlot = 2.0;
+// Longer than entries need to subscribe again after their control process was
+// lost.
+constexpr Duration kEntryCountRetention = std::chrono::seconds(30);
 
 // Returns a hash of the pair, uniform in (0, 1).
 double UniformHash(const std::string& a, const std::string& b) {
@@ -162,6 +165,18 @@
   server.backoff_until = std::max(server.backoff_until, until);
 }
 
+void LoadBalancer::SetEntryCount(std::uint32_t count, Time now) {
+  if (count < entry_count_ && now < entry_count_until_) return;
+  entry_count_ = count;
+  entry_count_until_ = now + kEntryCountRetention;
+}
+
+void LoadBalancer::OnSend(const ServerId& id, Time now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  found->second.rate_limiter.OnSend(entry_count_, now);
+}
+
 bool LoadBalancer::OnRateLimit(const ServerId& id, std::uint64_t incarnation,
                                std::optional<double> per_second, Time sent_at,
                                Time now) {
@@ -185,9 +200,8 @@
   std::optional<Time> first;
   for (const auto& [id, server] : servers_) {
     if (!IsEligible(server, query)) continue;
-    if (now >= server.backoff_until) return std::nullopt;
-    first =
-        std::min(first.value_or(server.backoff_until), server.backoff_until);
+    if (now >= server.accepts_at()) return std::nullopt;
+    first = std::min(first.value_or(server.accepts_at()), server.accepts_at());
   }
   return first;
 }
@@ -272,7 +286,7 @@
   std::vector<const Server*> reachable;
   std::vector<const Server*> ejected;
   for (const auto& [id, server] : servers_) {
-    if (!IsEligible(server, query) || now < server.backoff_until) continue;
+    if (!IsEligible(server, query) || now < server.accepts_at()) continue;
     (now >= server.ejected_until ? reachable : ejected).push_back(&server);
   }
   // An ejected server is better than none.
--- a/src/core/gateway/server_rate_limiter.cc
+++ b/src/core/gateway/server_rate_limiter.cc
@@ -9,6 +9,9 @@
 // Only a response shows that a limit has ended, so a server that accepts less
 // still gets a request now and then.
 constexpr double kMinPerSecond = 0.2;
+// The rest is left for entries that do not know the limit yet, and since the
+// requests of entries that do not wait for each other come unevenly.
+constexpr double kSharedFraction = 0.8;
 
 }  // namespace
 
@@ -45,9 +48,9 @@
 }
 
 Duration ServerRateLimiter::Interval(std::uint32_t entries) const {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::max<std::uint32_t>(entries, 1) /
-                                    std::max(*per_second_, kMinPerSecond)));
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      std::max<std::uint32_t>(entries, 1) /
+      std::max(kSharedFraction * *per_second_, kMinPerSecond)));
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/backend_attempt.cc
+++ b/src/shell/gateway/backend_attempt.cc
@@ -21,6 +21,7 @@
 void BackendAttempt::Start(RequestId id, Time now, AttemptEvents events) {
   id_ = std::move(id);
   events_ = std::move(events);
+  context_.balancer.OnSend(plan_.server, now);
   context_.pool.Acquire(plan_.connection_request, now,
                         [self = shared_from_this()](
                             std::shared_ptr<ServerConnection> connection) {
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -34,7 +34,10 @@
   // Replaces the load that the other entries' calls put on the servers, and the
   // demand of their queued and expected calls.
   void SetOtherEntriesUsage(FleetLoad others, FleetDemand demand, Time now);
-  void SetEntryCount(std::uint32_t count) { context_.entry_count = count; }
+  void SetEntryCount(std::uint32_t count, Time now) {
+    context_.entry_count = count;
+    context_.balancer.SetEntryCount(count, now);
+  }
   FleetLoad OwnLoad() const { return context_.balancer.OwnLoad(); }
   FleetDemand OwnDemand(Time now) const {
     return context_.headroom.OwnDemand(now);
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -66,7 +66,7 @@
                            std::uint32_t entries) {
     gateway_.SetOtherEntriesUsage(std::move(others), std::move(demand),
                                   MonotonicNow());
-    gateway_.SetEntryCount(entries);
+    gateway_.SetEntryCount(entries, MonotonicNow());
   };
   events.own_load = [this] { return gateway_.OwnLoad(); };
   events.own_demand = [this] { return gateway_.OwnDemand(MonotonicNow()); };
--- a/tests/core/gateway/load_balancer_test.cc
+++ b/tests/core/gateway/load_balancer_test.cc
@@ -361,6 +361,44 @@
   BOOST_TEST(balancer.OwnLoad().empty());
 }
 
+BOOST_AUTO_TEST_CASE(ServerAtItsRateLimitReceivesNoCalls) {
+  ServerDirectory directory = Directory(1);
+  LoadBalancer balancer = Balancer(directory);
+  const EngineProfile engine = Engine();
+  const ServerId id("sa");
+  balancer.SetEntryCount(4, kNow);
+  BOOST_TEST(balancer.OnRateLimit(id, 1, 2.0, kNow, kNow));
+  balancer.OnSend(id, kNow);
+  BOOST_TEST(!balancer.Pick(Query(engine, 100), kNow).has_value());
+  const auto end = balancer.EarliestBackoffEnd(Query(engine, 100), kNow);
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST(balancer.Pick(Query(engine, 100), *end).has_value());
+  // A restarted server has named no limit, and one of the old incarnation does
+  // not apply to it.
+  ServerRecord restarted = Record("sa");
+  restarted.incarnation = 2;
+  directory.Merge(restarted, kNow);
+  balancer.ApplyDirectory(directory, kNow);
+  BOOST_TEST(!balancer.OnRateLimit(id, 1, 2.0, kNow, kNow));
+  BOOST_TEST(balancer.Pick(Query(engine, 100), kNow).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(LostViewOfEntriesDoesNotRaiseTheShareOfARateLimit) {
+  constexpr std::chrono::seconds kShortOutage{10};
+  const ServerDirectory directory = Directory(1);
+  LoadBalancer balancer = Balancer(directory);
+  const EngineProfile engine = Engine();
+  const ServerId id("sa");
+  balancer.SetEntryCount(100, kNow);
+  balancer.SetEntryCount(1, kNow + kShortOutage);
+  const Time later = kNow + kShortOutage;
+  balancer.OnRateLimit(id, 1, 10.0, later, later);
+  balancer.OnSend(id, later);
+  // One entry alone would send ten requests a second.
+  BOOST_TEST(!balancer.Pick(Query(engine, 100), later + std::chrono::seconds(5))
+                  .has_value());
+}
+
 BOOST_AUTO_TEST_CASE(BaselinesIgnoreCapacity) {
   const ServerDirectory directory = Directory(3);
   const EngineProfile engine = Engine();
--- a/tests/platform/rate_limit_test.cc
+++ b/tests/platform/rate_limit_test.cc
@@ -27,7 +27,7 @@
     for (std::uint32_t i = 0; i < kEntries; ++i) {
       entries.push_back(
           std::make_unique<GatewayFixture>(GatewayOptions(), /*seed=*/i + 1));
-      entries.back()->gateway.SetEntryCount(kEntries);
+      entries.back()->gateway.SetEntryCount(kEntries, MonotonicNow());
       entries.back()->SetPlan();
     }
     calls_.resize(kEntries);
