--- a/src/shell/fleet/frame_link.h
+++ b/src/shell/fleet/frame_link.h
@@ -17,12 +17,13 @@
 
 enum class FramePriority : std::uint8_t {
   kNormal = 0,
-  // Sent in parts, between which frames of normal priority overtake it.
+  // May be sent in parts, between which other frames overtake it. The order of
+  // bulk frames is undefined.
   kBulk,
 };
 
 // A TCP connection between two processes of a fleet that carries
-// length-prefixed frames. Frames of one priority arrive in the order in which
+// length-prefixed frames. Frames of normal priority arrive in the order in which
 // they were sent. Used in place of a WebSocket; docs/design/platform.md
 // compares the cost of both.
 class FrameLink : public std::enable_shared_from_this<FrameLink> {
