--- a/src/shell/fleet/frame_link.h
+++ b/src/shell/fleet/frame_link.h
@@ -23,8 +23,8 @@
 };
 
 // A TCP connection between two processes of a fleet that carries
-// length-prefixed frames. Frames of normal priority arrive in the order in which
-// they were sent. Used in place of a WebSocket; docs/design/platform.md
+// length-prefixed frames. Frames of normal priority arrive in the order in
+// which they were sent. Used in place of a WebSocket; docs/design/platform.md
 // compares the cost of both.
 class FrameLink : public std::enable_shared_from_this<FrameLink> {
  public:
