--- a/tests/shell/fleet/control_subscriber_test.cc
+++ b/tests/shell/fleet/control_subscriber_test.cc
@@ -88,8 +88,7 @@
   std::string folder_;
 };
 
-// The entry dropped the control process in the middle of the transfer, and the
-// next one started it again.
+// The entry dropped the control process in the middle of the transfer.
 BOOST_FIXTURE_TEST_CASE(SubscriptionOutlivesTransferOfLargePlan,
                         SlowLinkFixture) {
   PutPlan(5, 1000);
