gateway: Move the response of a call into a source file of its own

Change: the functions that receive and forward the response, with their constants, are in gateway_call_response.cc; no change of behaviour.

--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -1,11 +1,9 @@
 #include "shell/gateway/gateway_call.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <utility>
 
 #include "shell/clock/monotonic_now.h"
-#include "shell/gateway/hop_fields.h"
 #include "shell/gateway/refusal_response.h"
 #include "shell/gateway/request_serializer.h"
 #include "shell/log/event.h"
@@ -15,22 +13,9 @@
 
 using std::chrono::milliseconds;
 
-// An incomplete event of a stream is buffered up to this size.
-constexpr std::size_t kMaxEventBytes = 256U << 10U;
-// A stream has at most one event per token. A stream with more than twice that
-// number, plus this number for comments and repeated events, is aborted as
-// endless.
-constexpr std::uint64_t kExtraEvents = 1024;
-// Limit for calls that state no maximum number of output tokens.
-constexpr std::uint64_t kMaxEventsWithoutTokenLimit = 1U << 20U;
-// A stream whose caller does not read it is buffered up to this size. Most
-// complete streams are far smaller.
-constexpr std::size_t kMaxBacklogBytes = 512U << 10U;
 // A connection that has been idle for longer may already be closed by the
 // server. Calls that are not safe to retry use a new connection instead.
 constexpr milliseconds kMaxIdleTimeForUnsafeCalls{1000};
-constexpr int kFirstNonSuccessStatus = 300;
-constexpr int kFirstServerErrorStatus = 500;
 
 milliseconds AsMilliseconds(Duration duration) {
   return milliseconds(ToMilliseconds(duration));
@@ -207,147 +192,6 @@
   OnAttemptFailed(AttemptResult::kNeverSent, now);
 }
 
-void GatewayCall::OnHead(const HttpResponse& head, const ResponseHead& facts) {
-  context_.response_buffers.Release(std::exchange(buffered_bytes_, 0));
-  response_ = head;
-  response_facts_ = facts;
-  streaming_ = IsEventStream(head);
-  if (!streaming_) return;
-  context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/false);
-  if (response_started_) return;
-  response_started_ = true;
-  exchange_->StartStream(
-      {head.status, head.content_type, EndToEndFields(head.fields), {}});
-}
-
-bool GatewayCall::IsEventStream(const HttpResponse& head) const {
-  constexpr const char* kEventStream = "text/event-stream";
-  const boost::beast::string_view type(head.content_type);
-  return head.status < kFirstNonSuccessStatus &&
-         response_facts_.has_signature && response_facts_.id == head_.id &&
-         route_->kind == CallKind::kStreaming &&
-         boost::beast::iequals(type.substr(0, type.find(';')), kEventStream);
-}
-
-void GatewayCall::OnBody(std::string_view bytes) {
-  if (streaming_) return ForwardEvents(bytes);
-  if (!context_.response_buffers.TryReserve(buffered_bytes_, bytes.size())) {
-    return AbortOversizedResponse();
-  }
-  buffered_bytes_ += bytes.size();
-  response_.body += bytes;
-}
-
-void GatewayCall::AbortOversizedResponse() {
-  attempt_->Cancel();
-  OnEnd(ExchangeEnd::kOversized);
-}
-
-bool GatewayCall::IsWithinSizeLimits() const {
-  const std::uint64_t max_events =
-      head_.max_output_tokens > 0 ? 2 * head_.max_output_tokens + kExtraEvents
-                                  : kMaxEventsWithoutTokenLimit;
-  return events_received_ <= max_events &&
-         splitter_.incomplete_event().size() <= kMaxEventBytes;
-}
-
-void GatewayCall::ForwardEvents(std::string_view bytes) {
-  std::string events;
-  for (const StreamEvent& event : splitter_.Feed(bytes)) {
-    ++events_received_;
-    const bool already_sent =
-        event.id && last_event_id_ && *event.id <= *last_event_id_;
-    if (already_sent) continue;
-    if (event.id) last_event_id_ = event.id;
-    events += event.text;
-  }
-  if (!IsWithinSizeLimits()) return AbortOversizedResponse();
-  if (events.empty()) return;
-  exchange_->WriteChunk(events);
-  if (exchange_->backlog_bytes() > kMaxBacklogBytes) {
-    return AbortStartedResponse(CallOutcome::kSlowCaller);
-  }
-  const Time now = MonotonicNow();
-  const bool first = first_event_at_ == Time();
-  attempt_->OnPrefillDone();
-  RecordEventTimes(now);
-  UpdatePredictedLength();
-  // The drain notice arrived before the stream started.
-  if (migration_pending_ && first) Migrate(now);
-}
-
-void GatewayCall::RecordEventTimes(Time now) {
-  if (first_event_at_ == Time()) {
-    first_event_at_ = now;
-  } else {
-    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
-  }
-  last_event_at_ = now;
-}
-
-std::uint64_t GatewayCall::OutputTokens() const {
-  if (!service_->engine) return 0;
-  return last_event_id_.value_or(0) * service_->engine->tokens_per_event;
-}
-
-void GatewayCall::UpdatePredictedLength() {
-  if (!service_->engine || predicted_tokens_ == 0) return;
-  const std::uint64_t predicted_output =
-      predicted_tokens_ - head_.prompt_tokens;
-  const std::uint64_t raised_output = RaisePrediction(
-      predicted_output, OutputTokens(), head_.max_output_tokens);
-  if (raised_output <= predicted_output) return;
-  attempt_->AddTokens(raised_output - predicted_output);
-  predicted_tokens_ += raised_output - predicted_output;
-}
-
-void GatewayCall::OnEnd(ExchangeEnd end) {
-  const Time now = MonotonicNow();
-  const ServerId server = attempt_->plan().server;
-  if (end == ExchangeEnd::kOversized) {
-    context_.metrics.Count(GatewayCounter::kOversizedResponse);
-  }
-  if (streaming_) return OnStreamEnd(end, now);
-  if (end != ExchangeEnd::kComplete) {
-    context_.balancer.OnResponse(server, /*failed=*/true);
-    return OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
-  }
-  if (response_facts_.not_run) {
-    return OnAttemptFailed(AttemptResult::kNotRun, now);
-  }
-  const bool is_for_this_call = response_facts_.id == head_.id;
-  const bool success = response_.status < kFirstNonSuccessStatus;
-  if (!is_for_this_call || (success && !response_facts_.has_signature)) {
-    context_.balancer.OnResponse(server, /*failed=*/true);
-    return OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
-  }
-  const bool failed = response_.status >= kFirstServerErrorStatus;
-  // A server that requests back-off has not failed.
-  context_.balancer.OnResponse(server,
-                               failed && !response_facts_.requested_backoff);
-  if (failed) return OnAttemptFailed(AttemptResult::kServerError, now);
-  ForwardResponse();
-}
-
-void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
-  if (end == ExchangeEnd::kComplete) {
-    // Bytes after the last blank line are part of the response, too.
-    exchange_->WriteChunk(splitter_.incomplete_event());
-    exchange_->FinishStream();
-    context_.output_lengths.OnCompleted(route_->name, head_.max_output_tokens,
-                                        OutputTokens());
-    return Finish(CallOutcome::kServed, response_.status);
-  }
-  splitter_.DiscardIncompleteEvent();
-  attempt_ended_ = true;
-  if (next_attempt_ || (migration_ && migration_->is_stopping())) return;
-  if (CanMigrate() && (TryResumeFromCopy(now) || TryResumeFromBackup(now))) {
-    return;
-  }
-  context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/true);
-  OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
-}
-
 AttemptHistory GatewayCall::HistoryAt(Time now) {
   AttemptHistory history;
   history.safe_to_retry = route_->IsSafeToRetry();
@@ -400,15 +244,6 @@
        static_cast<int>(refusal.status), retry_after});
 }
 
-void GatewayCall::ForwardResponse() {
-  const int status = response_.status;
-  response_.fields = EndToEndFields(response_.fields);
-  exchange_->Respond(std::move(response_));
-  Finish(status < kFirstServerErrorStatus ? CallOutcome::kServed
-                                          : CallOutcome::kServerError,
-         status);
-}
-
 void GatewayCall::Refuse(const Refusal& refusal) {
   exchange_->Respond(RefusalResponse(
       refusal.status, CallOutcomeName(refusal.outcome), refusal.retry_after));
