gateway: Log how the last response of a call ended

Cause: the log does not tell a stream that was complete by its framing from one that ended with its connection inside an event; both are call_ended with outcome=served. Change: call_ended has `end` (complete, closed, broken, oversized) and `unfinished_bytes`. ExchangeEnd tells a response that ended with its connection from one that its length or last chunk delimits; both are still treated alike. Result: platform_gateway passes; no change of behaviour.

--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -35,6 +35,20 @@
   return "unknown";
 }
 
+const char* ExchangeEndName(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kComplete:
+      return "complete";
+    case ExchangeEnd::kClosed:
+      return "closed";
+    case ExchangeEnd::kBroken:
+      return "broken";
+    case ExchangeEnd::kOversized:
+      return "oversized";
+  }
+  return "unknown";
+}
+
 GatewayCounter RetryCounter(AttemptResult result) {
   switch (result) {
     case AttemptResult::kNeverSent:
@@ -300,6 +314,8 @@
             : std::to_string(ToMilliseconds(first_event_at_ - arrived_at_))},
        {"pause_ms", std::to_string(ToMilliseconds(longest_pause_))},
        {"event", std::to_string(last_event_id_.value_or(0))},
+       {"end", last_end_ ? ExchangeEndName(*last_end_) : std::string()},
+       {"unfinished_bytes", std::to_string(unfinished_event_bytes_)},
        {"prompt", std::to_string(head_.prompt_tokens)},
        {"most_output", std::to_string(head_.max_output_tokens)},
        {"tokens", std::to_string(predicted_tokens_)},
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -196,6 +196,10 @@
   EventSplitter splitter_;
   std::optional<std::uint64_t> last_event_id_;
   std::uint64_t events_received_ = 0;
+  // How the last response ended, and the size of the event that its stream
+  // left unfinished; for the log.
+  std::optional<ExchangeEnd> last_end_;
+  std::size_t unfinished_event_bytes_ = 0;
   // The current attempt's stream ended during a migration.
   bool attempt_ended_ = false;
   bool finished_ = false;
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -123,11 +123,12 @@
 void GatewayCall::OnEnd(ExchangeEnd end) {
   const Time now = MonotonicNow();
   const ServerId server = attempt_->plan().server;
+  last_end_ = end;
   if (end == ExchangeEnd::kOversized) {
     context_.metrics.Count(GatewayCounter::kOversizedResponse);
   }
   if (streaming_) return OnStreamEnd(end, now);
-  if (end != ExchangeEnd::kComplete) {
+  if (end != ExchangeEnd::kComplete && end != ExchangeEnd::kClosed) {
     context_.balancer.OnResponse(server, /*failed=*/true);
     return OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
   }
@@ -149,7 +150,8 @@
 }
 
 void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
-  if (end == ExchangeEnd::kComplete) {
+  unfinished_event_bytes_ = splitter_.incomplete_event().size();
+  if (end == ExchangeEnd::kComplete || end == ExchangeEnd::kClosed) {
     // Bytes after the last blank line are part of the response, too.
     exchange_->WriteChunk(splitter_.incomplete_event());
     exchange_->FinishStream();
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -129,7 +129,7 @@
   error_code parse_error;
   parser_->put_eof(parse_error);
   if (parse_error) return Fail();
-  OnComplete();
+  OnComplete(ExchangeEnd::kClosed);
 }
 
 bool ServerConnection::Parse() {
@@ -156,7 +156,7 @@
     }
     if (parser_->is_done()) {
       if (!skipping_) {
-        OnComplete();
+        OnComplete(ExchangeEnd::kComplete);
         return false;
       }
       skipping_ = false;
@@ -192,7 +192,7 @@
   return open_ && busy_;
 }
 
-void ServerConnection::OnComplete() {
+void ServerConnection::OnComplete(ExchangeEnd end) {
   const bool reusable = !parser_->need_eof() && parser_->keep_alive() &&
                         buffer_.size() == 0 && !writing_;
   ExchangeEvents events = std::move(events_);
@@ -205,7 +205,7 @@
   } else {
     Close();
   }
-  events.on_end(ExchangeEnd::kComplete);
+  events.on_end(end);
 }
 
 void ServerConnection::Fail(ExchangeEnd end) {
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -19,8 +19,11 @@
 
 // The result of an HTTP exchange with a server.
 enum class ExchangeEnd : std::uint8_t {
-  // The response is complete.
+  // The response is complete, as its length or its last chunk shows.
   kComplete = 0,
+  // The response has neither a length nor chunks, and the server closed the
+  // connection in order.
+  kClosed,
   // The connection was closed early, or the response is not valid HTTP.
   kBroken,
   // Too much HTTP framing, or too many bytes of responses to other calls.
@@ -79,7 +82,8 @@
   // Counts bytes of a skipped response. Returns false, and fails the exchange,
   // if they exceed the limit.
   bool SkipBytes(std::size_t bytes);
-  void OnComplete();
+  // Ends the exchange after the last byte of its response.
+  void OnComplete(ExchangeEnd end);
   void Fail(ExchangeEnd end = ExchangeEnd::kBroken);
   void ReadKeepAliveTimeout();
 
