gateway, tests: Test how each end of a response reaches the caller

No test played a response with neither a length nor chunks that breaks off, nor a migration of such a stream.

--- a/tests/platform/platform_engine.cc
+++ b/tests/platform/platform_engine.cc
@@ -62,7 +62,7 @@
 
 void PlatformEngine::OnRequest(const HttpRequest& request,
                                const std::shared_ptr<HttpExchange>& exchange) {
-  if (request.target == "/api/kv-move") return OnKvTransfer(request, *exchange);
+  if (request.target == "/api/kv-move") return OnKvTransfer(request, exchange);
   if (request.target == "/api/report") {
     auto runs = json::array();
     for (const auto& [call, run] : runs_) {
@@ -148,29 +148,49 @@
   });
 }
 
-void PlatformEngine::OnKvTransfer(const HttpRequest& request,
-                                  HttpExchange& exchange) {
+void PlatformEngine::OnKvTransfer(
+    const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) {
   const json body = json::parse(request.body);
   const std::string call = body.at("id");
   const auto found = runs_.find(call);
-  if (found == runs_.end()) return exchange.Respond({404, "", {}, ""});
+  if (found == runs_.end()) return exchange->Respond({404, "", {}, ""});
   PlatformEngine* target = Peer(body.at("to"));
   const std::string handle = "h-" + call;
   const json reply = {{"handle", handle}, {"made", found->second->events_sent}};
   const bool is_final = body.at("final_move");
   const bool target_has_memory = target != nullptr && !target->rejects_calls_;
-  if (is_final) {
-    const std::shared_ptr<Run> run = found->second;
-    runs_.erase(found);
-    run->timer.cancel();
-    run->exchange->AbortStream();
-    (target_has_memory ? target : this)->kv_copies_.insert(handle);
-  }
+  HttpResponse response{200, "application/json", {}, reply.dump()};
   if (!target_has_memory) {
-    return exchange.Respond(
-        {503, "application/json", {}, is_final ? reply.dump() : "{}"});
+    response.status = 503;
+    if (!is_final) response.body = "{}";
+  }
+  if (!is_final) return exchange->Respond(std::move(response));
+  const std::shared_ptr<Run> run = found->second;
+  runs_.erase(found);
+  OnFinalKvTransfer(run, target_has_memory ? *target : *this, exchange,
+                    std::move(response));
+}
+
+void PlatformEngine::OnFinalKvTransfer(
+    const std::shared_ptr<Run>& run, PlatformEngine& copy_holder,
+    const std::shared_ptr<HttpExchange>& exchange, HttpResponse reply) {
+  run->timer.cancel();
+  if (final_transfer_ == FinalTransfer::kRunHasEnded) {
+    run->exchange->FinishStream();
+    reply = {404, "", {}, ""};
+  } else {
+    run->exchange->AbortStream();
+    copy_holder.kv_copies_.insert("h-" + run->id);
   }
-  exchange.Respond({200, "application/json", {}, reply.dump()});
+  run->timer.expires_after(final_transfer_delay_);
+  run->timer.async_wait(
+      [run, exchange, reply = std::move(reply),
+       fails = final_transfer_ == FinalTransfer::kFailsWithoutReply](auto) {
+        if (!fails) return exchange->Respond(reply);
+        // A response that has started and breaks off is no reply.
+        exchange->StartStream({200, "application/json", {}, {}});
+        exchange->AbortStream();
+      });
 }
 
 }  // namespace coltsfootfork
--- a/tests/platform/platform_engine.h
+++ b/tests/platform/platform_engine.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,23 @@
   }
   // Adds the id of the call to the body of a response that is not a stream.
   void SetEchoesCallId(bool echoes) { echoes_call_id_ = echoes; }
+  // How the engine treats the final KV transfer of a run.
+  enum class FinalTransfer {
+    // Stops the run, and replies with a handle.
+    kStopsRun,
+    // The run has completed just before: its stream ends, and the reply says
+    // that there is no such run.
+    kRunHasEnded,
+    // Stops the run, and fails before it replies.
+    kFailsWithoutReply,
+  };
+  void SetFinalTransfer(FinalTransfer final_transfer) {
+    final_transfer_ = final_transfer;
+  }
+  // Delays the replies to final KV transfers.
+  void SetFinalTransferDelay(std::chrono::milliseconds delay) {
+    final_transfer_delay_ = delay;
+  }
   // Aborts all streams, as a crash does.
   void Crash();
   // Returns whether this engine stores a KV copy with the handle. The handle of
@@ -77,7 +95,12 @@
                  const std::shared_ptr<HttpExchange>& exchange);
   void OnCall(const HttpRequest& request,
               const std::shared_ptr<HttpExchange>& exchange);
-  void OnKvTransfer(const HttpRequest& request, HttpExchange& exchange);
+  void OnKvTransfer(const HttpRequest& request,
+                    const std::shared_ptr<HttpExchange>& exchange);
+  void OnFinalKvTransfer(const std::shared_ptr<Run>& run,
+                         PlatformEngine& copy_holder,
+                         const std::shared_ptr<HttpExchange>& exchange,
+                         HttpResponse reply);
   void SendNextEvent(const std::string& call);
   // Returns the engine at the address IP:PORT, or nullptr if it is unknown.
   PlatformEngine* Peer(const std::string& address);
@@ -89,6 +112,8 @@
   bool rejects_calls_ = false;
   bool runs_rejected_calls_ = false;
   bool draining_ = false;
+  FinalTransfer final_transfer_ = FinalTransfer::kStopsRun;
+  std::chrono::milliseconds final_transfer_delay_{0};
   bool echoes_call_id_ = false;
   std::optional<std::string> rate_limit_;
   int arrivals_ = 0;
--- /dev/null
+++ b/tests/platform/response_end_test.cc
@@ -0,0 +1,166 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/gateway_fixture.h"
+#include "platform/scripted_server.h"
+
+// How the end of a server's response reaches the caller: each way to delimit a
+// response, with each way to end it.
+namespace coltsfootfork {
+namespace {
+
+constexpr const char* kEvents = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
+constexpr const char* kEventStream = "text/event-stream";
+
+std::string IdOf(const std::string& request) {
+  const std::string name = "Request-Id: ";
+  const std::size_t at = request.find(name) + name.size();
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+enum class Framing { kLength, kChunked, kNone };
+constexpr Framing kFramings[] = {Framing::kLength, Framing::kChunked,
+                                 Framing::kNone};
+
+std::string MakeResponse(const std::string& request, Framing framing,
+                         const std::string& type, const std::string& body,
+                         int status = 200) {
+  std::string bytes = "HTTP/1.1 " + std::to_string(status) +
+                      " X\r\nRequest-Id: " + IdOf(request) +
+                      "\r\nResponse-Signature: s\r\nContent-Type: " + type +
+                      "\r\n";
+  if (framing == Framing::kLength) {
+    bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  if (framing != Framing::kChunked) return bytes + "\r\n" + body;
+  bytes += "Transfer-Encoding: chunked\r\n\r\n";
+  for (const char byte : body) bytes += std::string("1\r\n") + byte + "\r\n";
+  return bytes + "0\r\n\r\n";
+}
+
+// What the caller receives of a response; nullopt if it is incomplete.
+std::optional<HttpResponse> FetchThroughGateway(
+    const std::string& path, Framing framing, const std::string& type,
+    const std::string& body, std::size_t missing_bytes, bool reset) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string& request, int) {
+    std::string bytes = MakeResponse(request, framing, type, body);
+    bytes.resize(bytes.size() - missing_bytes);
+    return ScriptedResponse{bytes, /*close=*/true, reset};
+  });
+  fixture.SetPlan();
+  const bool is_engine = path == "/talk/1";
+  fixture.Announce("i-1", server.address(), is_engine ? "model" : "ledger");
+  return fixture.Fetch(is_engine ? fixture.StreamRequest(path, "r1")
+                                 : fixture.Request(path, "r1"));
+}
+
+bool IsCompleteSuccess(const std::optional<HttpResponse>& response) {
+  return response && response->status == 200;
+}
+
+BOOST_AUTO_TEST_CASE(WholeResponseIsCompleteInEachFraming) {
+  for (const Framing framing : kFramings) {
+    for (const char* path : {"/talk/1", "/sale/1"}) {
+      for (const std::string type : {kEventStream, "text/plain"}) {
+        const auto response =
+            FetchThroughGateway(path, framing, type, kEvents, 0, false);
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->body == kEvents);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StreamMayEndWithCommentsOrBlankLines) {
+  for (const char* rest : {"\n", "\r\n", ": done\n", ": done\r\n: bye\n"}) {
+    for (const Framing framing : kFramings) {
+      const std::string body = std::string(kEvents) + rest;
+      const auto response =
+          FetchThroughGateway("/talk/1", framing, kEventStream, body, 0, false);
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response->body == body);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StreamThatEndsInsideAnEventIsNotComplete) {
+  for (const char* part :
+       {"i", "id: 3", "id: 3\n", "id: 3\ndata: z", "id: 3\ndata: z\n",
+        "id: 3\r\ndata: z\r\n", "id: 3\ndata: z\n\r", ": cut"}) {
+    for (const Framing framing : kFramings) {
+      for (const char* path : {"/talk/1", "/sale/1"}) {
+        const std::string body = std::string(kEvents) + part;
+        BOOST_TEST_CONTEXT(path << " " << part << " framing "
+                                << static_cast<int>(framing)) {
+          BOOST_TEST(!IsCompleteSuccess(FetchThroughGateway(
+              path, framing, kEventStream, body, 0, false)));
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TruncatedOrResetResponseIsNotComplete) {
+  for (const char* path : {"/talk/1", "/sale/1"}) {
+    for (const std::string type : {kEventStream, "text/plain"}) {
+      for (const Framing framing : {Framing::kLength, Framing::kChunked}) {
+        for (const std::size_t missing_bytes : {1U, 5U, 6U, 12U}) {
+          BOOST_TEST(!IsCompleteSuccess(FetchThroughGateway(
+              path, framing, type, kEvents, missing_bytes, false)));
+        }
+      }
+      BOOST_TEST(!IsCompleteSuccess(FetchThroughGateway(
+          path, Framing::kNone, type, kEvents, 0, /*reset=*/true)));
+    }
+  }
+}
+
+// A resumable stream whose first server breaks off inside an event.
+std::optional<HttpResponse> FetchResumed(
+    const std::function<std::string(const std::string& request)>& rest) {
+  GatewayFixture fixture;
+  int requests = 0;
+  const auto script = [&](const std::string& request, int) {
+    const bool is_first = requests++ == 0;
+    return ScriptedResponse{
+        is_first ? MakeResponse(request, Framing::kNone, kEventStream,
+                                "id: 1\ndata: x\n\nid: 2\nda")
+                 : rest(request),
+        /*close=*/true, false};
+  };
+  ScriptedServer first_server(fixture.io, script);
+  ScriptedServer second_server(fixture.io, script);
+  fixture.SetPlan();
+  fixture.Announce("i-1", first_server.address(), "model");
+  fixture.Announce("i-2", second_server.address(), "model");
+  // First attempts fill the retry budget.
+  requests = 1;
+  for (int i = 0; i < 10; ++i) {
+    fixture.Fetch(fixture.StreamRequest("/verdict/1", "w" + std::to_string(i)));
+  }
+  requests = 0;
+  return fixture.Fetch(fixture.StreamRequest("/verdict/1", "r1"));
+}
+
+BOOST_AUTO_TEST_CASE(StreamBrokenOffInsideAnEventIsResumed) {
+  const auto response = FetchResumed([](const std::string& request) {
+    return MakeResponse(request, Framing::kNone, kEventStream,
+                        "id: 2\ndata: y\n\n");
+  });
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->body == kEvents);
+}
+
+BOOST_AUTO_TEST_CASE(ResumedStreamThatEndsInsideAnEventIsNotComplete) {
+  const auto response = FetchResumed([](const std::string& request) {
+    return MakeResponse(request, Framing::kNone, kEventStream,
+                        "id: 2\ndata: y\n");
+  });
+  BOOST_TEST(!IsCompleteSuccess(response));
+}
+
+}  // namespace
+}  // namespace coltsfootfork
