gateway: Abort streams that end inside an event

What callers saw: a stream that its engine had broken off in the middle of an event ended with the part of the event and the last chunk, as if complete. Cause: the gateway judged the end of a stream by its framing only. A response with neither a length nor chunks ends with its connection, so that an orderly close in the middle of an event was a complete response, and what followed the last blank line was forwarded as its rest. Change: a stream is complete if its response was received to its end and only comments or blank lines follow its last event, however it is delimited. Else it is resumed or aborted as after a broken connection. The same holds for event streams on plain routes, which are buffered: they are incomplete responses.

--- a/src/shell/gateway/event_splitter.cc
+++ b/src/shell/gateway/event_splitter.cc
@@ -59,4 +59,17 @@
   return events;
 }
 
+bool EventSplitter::IsInsideEvent() const {
+  std::string_view rest = incomplete_event_;
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('\n');
+    if (end == std::string_view::npos) return true;
+    const std::string_view line = rest.substr(0, end);
+    const bool is_blank = line.empty() || line == "\r";
+    if (!is_blank && line.front() != ':') return true;
+    rest.remove_prefix(end + 1);
+  }
+  return false;
+}
+
 }  // namespace coltsfootfork
--- a/src/shell/gateway/event_splitter.h
+++ b/src/shell/gateway/event_splitter.h
@@ -25,6 +25,10 @@
 
   // Returns the bytes after the last complete event.
   const std::string& incomplete_event() const { return incomplete_event_; }
+  // Returns whether a stream that ends now would end inside an event: its last
+  // line is unfinished or belongs to an event. Comments and blank lines may
+  // follow the last event.
+  bool IsInsideEvent() const;
   // Discards the bytes of an event that will not be completed.
   void DiscardIncompleteEvent() { incomplete_event_.clear(); }
 
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -105,7 +105,12 @@
   void UpdatePredictedLength();
   // Returns the number of output tokens so far.
   std::uint64_t OutputTokens() const;
+  // Ends the caller's response after a complete stream.
+  void FinishStream();
   void ForwardResponse();
+  // Returns whether the buffered response is a stream that ends inside an
+  // event.
+  bool IsBufferedStreamUnfinished() const;
   bool IsEventStream(const HttpResponse& head) const;
 
   // Migration of a running stream.
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -24,6 +24,17 @@
 constexpr int kFirstNonSuccessStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
 
+bool HasEventStreamType(const HttpResponse& head) {
+  constexpr const char* kEventStream = "text/event-stream";
+  const boost::beast::string_view type(head.content_type);
+  return boost::beast::iequals(type.substr(0, type.find(';')), kEventStream);
+}
+
+// Returns whether the response was received to its end, as far as HTTP shows.
+bool IsReceived(ExchangeEnd end) {
+  return end == ExchangeEnd::kComplete || end == ExchangeEnd::kClosed;
+}
+
 }  // namespace
 
 void GatewayCall::OnHead(const HttpResponse& head, const ResponseHead& facts) {
@@ -40,12 +51,9 @@
 }
 
 bool GatewayCall::IsEventStream(const HttpResponse& head) const {
-  constexpr const char* kEventStream = "text/event-stream";
-  const boost::beast::string_view type(head.content_type);
   return head.status < kFirstNonSuccessStatus &&
          response_facts_.has_signature && response_facts_.id == head_.id &&
-         route_->kind == CallKind::kStreaming &&
-         boost::beast::iequals(type.substr(0, type.find(';')), kEventStream);
+         route_->kind == CallKind::kStreaming && HasEventStreamType(head);
 }
 
 void GatewayCall::OnBody(std::string_view bytes) {
@@ -128,7 +136,7 @@
     context_.metrics.Count(GatewayCounter::kOversizedResponse);
   }
   if (streaming_) return OnStreamEnd(end, now);
-  if (end != ExchangeEnd::kComplete && end != ExchangeEnd::kClosed) {
+  if (!IsReceived(end) || IsBufferedStreamUnfinished()) {
     context_.balancer.OnResponse(server, /*failed=*/true);
     return OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
   }
@@ -149,16 +157,16 @@
   ForwardResponse();
 }
 
+bool GatewayCall::IsBufferedStreamUnfinished() const {
+  if (!HasEventStreamType(response_)) return false;
+  EventSplitter splitter;
+  splitter.Feed(response_.body);
+  return splitter.IsInsideEvent();
+}
+
 void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
   unfinished_event_bytes_ = splitter_.incomplete_event().size();
-  if (end == ExchangeEnd::kComplete || end == ExchangeEnd::kClosed) {
-    // Bytes after the last blank line are part of the response, too.
-    exchange_->WriteChunk(splitter_.incomplete_event());
-    exchange_->FinishStream();
-    context_.output_lengths.OnCompleted(route_->name, head_.max_output_tokens,
-                                        OutputTokens());
-    return Finish(CallOutcome::kServed, response_.status);
-  }
+  if (IsReceived(end) && !splitter_.IsInsideEvent()) return FinishStream();
   splitter_.DiscardIncompleteEvent();
   attempt_ended_ = true;
   if (next_attempt_ || (migration_ && migration_->is_stopping())) return;
@@ -169,6 +177,15 @@
   OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
 }
 
+void GatewayCall::FinishStream() {
+  // Comments and blank lines after the last event are part of the response.
+  exchange_->WriteChunk(splitter_.incomplete_event());
+  exchange_->FinishStream();
+  context_.output_lengths.OnCompleted(route_->name, head_.max_output_tokens,
+                                      OutputTokens());
+  Finish(CallOutcome::kServed, response_.status);
+}
+
 void GatewayCall::ForwardResponse() {
   const int status = response_.status;
   response_.fields = EndToEndFields(response_.fields);
--- a/tests/shell/gateway/event_splitter_test.cc
+++ b/tests/shell/gateway/event_splitter_test.cc
@@ -29,6 +29,20 @@
   BOOST_TEST(splitter.Feed("id: 7\ndata: whole\n\n").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(OnlyCommentsAndBlankLinesMayFollowTheLastEvent) {
+  for (const char* rest : {"", "\n", "\r\n", ": c\n", ": c\r\n\r\n"}) {
+    EventSplitter splitter;
+    splitter.Feed(std::string("data: a\n\n") + rest);
+    BOOST_TEST(!splitter.IsInsideEvent(), rest);
+  }
+  for (const char* rest : {"d", "data: b", "data: b\n", ": c\ndata: b\n",
+                           "data: b\r\n", ": c", "\r"}) {
+    EventSplitter splitter;
+    splitter.Feed(std::string("data: a\n\n") + rest);
+    BOOST_TEST(splitter.IsInsideEvent(), rest);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NonNumericEventIdIsIgnored) {
   EventSplitter splitter;
   const auto events = splitter.Feed("id: x\ndata: a\n\ndata: b\n\n");
