gateway: Do not take a stream that its source stopped for a complete one

What callers saw: a running stream with neither a length nor chunks whose engine drains ended after the events so far, framed as complete, if the engine closed the stream's connection before its reply to the final KV transfer arrived. Cause: an engine that stops a stream for a migration closes the stream without its end. Without framing that is an orderly close between two events, which the gateway took for the end of the stream. Change: while a final transfer or a resumption is pending, or after the source has stopped the stream, only a response that its length or last chunk delimits is complete. Otherwise the call waits for the outcome: it goes on at the target, is complete if the source replies that it runs no such call, and is aborted if the source does not say. Evidence: found by pairing framings with migrations in platform_moved_stream_end, which failed: 13 of 60 events and the last chunk.

--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -239,6 +239,7 @@
          {"status", std::to_string(response_.status)},
          {"sends", std::to_string(attempts_)}});
     attempt_ended_ = false;
+    source_stopped_ = false;
     return DispatchToBestServer(now);
   }
   if (!history.budget_allows) {
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -105,6 +105,9 @@
   void UpdatePredictedLength();
   // Returns the number of output tokens so far.
   std::uint64_t OutputTokens() const;
+  // Returns whether the end of the current attempt's stream may be due to a
+  // migration.
+  bool MayBeStopped(ExchangeEnd end) const;
   // Ends the caller's response after a complete stream.
   void FinishStream();
   void ForwardResponse();
@@ -207,6 +210,11 @@
   std::size_t unfinished_event_bytes_ = 0;
   // The current attempt's stream ended during a migration.
   bool attempt_ended_ = false;
+  // The connection of the ended stream closed in order between two events, so
+  // that the stream is complete unless its source stopped it.
+  bool closed_between_events_ = false;
+  // The source stopped the stream for a migration, or may have done so.
+  bool source_stopped_ = false;
   bool finished_ = false;
 
   // When the first attempt started.
--- a/src/shell/gateway/gateway_call_migration.cc
+++ b/src/shell/gateway/gateway_call_migration.cc
@@ -144,7 +144,10 @@
                                        Time now) {
   if (finished_) return;
   const ServerChoice target = migration_->target();
+  const bool stop_requested = migration_->is_stopping();
   migration_ = nullptr;
+  const bool had_ended = result.status == KvTransferStatus::kUnknownCall;
+  if (stop_requested && !had_ended) source_stopped_ = true;
   if (!result.stopped) {
     Log(LogLevel::kInfo, Event::kCarryRefused,
         {{"id", head_.id.value()},
@@ -230,6 +233,7 @@
   attempt_->Cancel();
   attempt_ = std::exchange(next_attempt_, nullptr);
   attempt_ended_ = false;
+  source_stopped_ = false;
   streaming_ = true;
   migration_attempts_ = 0;
   splitter_.DiscardIncompleteEvent();
@@ -250,6 +254,7 @@
     next_attempt_ = nullptr;
   }
   if (!attempt_ended_) return StartMigration(now);
+  if (closed_between_events_ && !source_stopped_) return FinishStream();
   context_.metrics.Count(GatewayCounter::kMigrationFailed);
   OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
 }
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -157,6 +157,13 @@
   ForwardResponse();
 }
 
+bool GatewayCall::MayBeStopped(ExchangeEnd end) const {
+  // Only a response that is delimited shows that its stream was not stopped.
+  if (end == ExchangeEnd::kComplete) return false;
+  return source_stopped_ || next_attempt_ ||
+         (migration_ && migration_->is_stopping());
+}
+
 bool GatewayCall::IsBufferedStreamUnfinished() const {
   if (!HasEventStreamType(response_)) return false;
   EventSplitter splitter;
@@ -166,8 +173,10 @@
 
 void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
   unfinished_event_bytes_ = splitter_.incomplete_event().size();
-  if (IsReceived(end) && !splitter_.IsInsideEvent()) return FinishStream();
-  splitter_.DiscardIncompleteEvent();
+  const bool is_whole = IsReceived(end) && !splitter_.IsInsideEvent();
+  if (is_whole && !MayBeStopped(end)) return FinishStream();
+  closed_between_events_ = is_whole;
+  if (!is_whole) splitter_.DiscardIncompleteEvent();
   attempt_ended_ = true;
   if (next_attempt_ || (migration_ && migration_->is_stopping())) return;
   if (CanMigrate() && (TryResumeFromCopy(now) || TryResumeFromBackup(now))) {
