gateway: Abort a stream whose resumed attempt gets a plain response

What callers saw: nothing wrong, by accident: a plain response after the stream had started was dropped, and the caller's connection closed only since no one held it any more. The log and the metrics called the stream served. Cause: ForwardResponse did not regard that a stream had started. Change: such a stream is aborted as broken off. Evidence: found by looking at each place that ends a response to a caller; PlainResponseDoesNotEndAStartedStream failed before for statuses 200 and 404.

--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -196,6 +196,10 @@
 }
 
 void GatewayCall::ForwardResponse() {
+  // A plain response cannot continue a stream.
+  if (response_started_) {
+    return AbortStartedResponse(CallOutcome::kResponseAborted);
+  }
   const int status = response_.status;
   response_.fields = EndToEndFields(response_.fields);
   exchange_->Respond(std::move(response_));
--- a/tests/platform/response_end_test.cc
+++ b/tests/platform/response_end_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "platform/gateway_fixture.h"
 #include "platform/scripted_server.h"
@@ -120,7 +121,8 @@
 
 // A resumable stream whose first server breaks off inside an event.
 std::optional<HttpResponse> FetchResumed(
-    const std::function<std::string(const std::string& request)>& rest) {
+    const std::function<std::string(const std::string& request)>& rest,
+    std::string* metrics = nullptr) {
   GatewayFixture fixture;
   int requests = 0;
   const auto script = [&](const std::string& request, int) {
@@ -142,7 +144,9 @@
     fixture.Fetch(fixture.StreamRequest("/verdict/1", "w" + std::to_string(i)));
   }
   requests = 0;
-  return fixture.Fetch(fixture.StreamRequest("/verdict/1", "r1"));
+  auto response = fixture.Fetch(fixture.StreamRequest("/verdict/1", "r1"));
+  if (metrics != nullptr) *metrics = fixture.gateway.MetricsText();
+  return response;
 }
 
 BOOST_AUTO_TEST_CASE(StreamBrokenOffInsideAnEventIsResumed) {
@@ -162,5 +166,20 @@
   BOOST_TEST(!IsCompleteSuccess(response));
 }
 
+BOOST_AUTO_TEST_CASE(PlainResponseDoesNotEndAStartedStream) {
+  for (const int status : {200, 404}) {
+    std::string metrics;
+    const auto response = FetchResumed(
+        [&](const std::string& request) {
+          return MakeResponse(request, Framing::kLength, "text/plain",
+                              "no stream", status);
+        },
+        &metrics);
+    BOOST_TEST(!response.has_value());
+    BOOST_TEST(metrics.find("{outcome=\"broken_off\"} 1\n") !=
+               std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace coltsfootfork
