net: Move EventSplitter to where the engine adapter can use it

Cause: the adapter of the product's own engine protocol needs the same check of a stream's end, and cannot depend on the gateway. Change: event_splitter is in shell/net, with IsEventStreamType and EndsInsideEvent; the gateway uses them.

--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -13,9 +13,9 @@
 #include "coltsfootfork/core/gateway/retry_policy.h"
 #include "coltsfootfork/core/types/time.h"
 #include "shell/gateway/backend_attempt.h"
-#include "shell/gateway/event_splitter.h"
 #include "shell/gateway/gateway_context.h"
 #include "shell/gateway/stream_migration.h"
+#include "shell/net/event_splitter.h"
 #include "shell/net/http_server.h"
 
 namespace coltsfootfork {
@@ -111,9 +111,6 @@
   // Ends the caller's response after a complete stream.
   void FinishStream();
   void ForwardResponse();
-  // Returns whether the buffered response is a stream that ends inside an
-  // event.
-  bool IsBufferedStreamUnfinished() const;
   bool IsEventStream(const HttpResponse& head) const;
 
   // Migration of a running stream.
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <utility>
 
 #include "shell/clock/monotonic_now.h"
@@ -24,12 +23,6 @@
 constexpr int kFirstNonSuccessStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
 
-bool HasEventStreamType(const HttpResponse& head) {
-  constexpr const char* kEventStream = "text/event-stream";
-  const boost::beast::string_view type(head.content_type);
-  return boost::beast::iequals(type.substr(0, type.find(';')), kEventStream);
-}
-
 // Returns whether the response was received to its end, as far as HTTP shows.
 bool IsReceived(ExchangeEnd end) {
   return end == ExchangeEnd::kComplete || end == ExchangeEnd::kClosed;
@@ -53,7 +46,8 @@
 bool GatewayCall::IsEventStream(const HttpResponse& head) const {
   return head.status < kFirstNonSuccessStatus &&
          response_facts_.has_signature && response_facts_.id == head_.id &&
-         route_->kind == CallKind::kStreaming && HasEventStreamType(head);
+         route_->kind == CallKind::kStreaming &&
+         IsEventStreamType(head.content_type);
 }
 
 void GatewayCall::OnBody(std::string_view bytes) {
@@ -136,7 +130,9 @@
     context_.metrics.Count(GatewayCounter::kOversizedResponse);
   }
   if (streaming_) return OnStreamEnd(end, now);
-  if (!IsReceived(end) || IsBufferedStreamUnfinished()) {
+  const bool breaks_off = IsEventStreamType(response_.content_type) &&
+                          EndsInsideEvent(response_.body);
+  if (!IsReceived(end) || breaks_off) {
     context_.balancer.OnResponse(server, /*failed=*/true);
     return OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
   }
@@ -164,13 +160,6 @@
          (migration_ && migration_->is_stopping());
 }
 
-bool GatewayCall::IsBufferedStreamUnfinished() const {
-  if (!HasEventStreamType(response_)) return false;
-  EventSplitter splitter;
-  splitter.Feed(response_.body);
-  return splitter.IsInsideEvent();
-}
-
 void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
   unfinished_event_bytes_ = splitter_.incomplete_event().size();
   const bool is_whole = IsReceived(end) && !splitter_.IsInsideEvent();
--- a/src/shell/gateway/event_splitter.cc
+++ b/src/shell/net/event_splitter.cc
@@ -1,5 +1,6 @@
-#include "shell/gateway/event_splitter.h"
+#include "shell/net/event_splitter.h"
 
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 
 namespace coltsfootfork {
@@ -72,4 +73,16 @@
   return false;
 }
 
+bool IsEventStreamType(std::string_view content_type) {
+  const std::string_view type =
+      content_type.substr(0, content_type.find_first_of("; "));
+  return boost::beast::iequals({type.data(), type.size()}, "text/event-stream");
+}
+
+bool EndsInsideEvent(std::string_view body) {
+  EventSplitter splitter;
+  splitter.Feed(body);
+  return splitter.IsInsideEvent();
+}
+
 }  // namespace coltsfootfork
--- a/src/shell/gateway/event_splitter.h
+++ b/src/shell/net/event_splitter.h
@@ -36,4 +36,10 @@
   std::string incomplete_event_;
 };
 
+// Returns whether a Content-Type field denotes a stream of events.
+bool IsEventStreamType(std::string_view content_type);
+
+// Returns whether a whole body of events ends inside an event.
+bool EndsInsideEvent(std::string_view body);
+
 }  // namespace coltsfootfork
--- a/tests/shell/gateway/event_splitter_test.cc
+++ b/tests/shell/net/event_splitter_test.cc
@@ -1,4 +1,4 @@
-#include "shell/gateway/event_splitter.h"
+#include "shell/net/event_splitter.h"
 
 #include <boost/test/unit_test.hpp>
 
