adapters: Do not complete an event stream of a service that ends inside an event

What callers saw: on the product's own path, an event stream of a plain service that its server broke off inside an event was a whole response. Cause: as in the gateway: the end was judged by the framing only. Change: EngineCall reports such a response as interrupted. The splitter's event type is ServerSentEvent, as the adapters have a StreamEvent of their own. Generations were right: they end with an event of their own.

--- a/src/adapters/engine_call.cc
+++ b/src/adapters/engine_call.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "adapters/engine_decoders.h"
+#include "shell/net/event_splitter.h"
 
 namespace coltsfootfork {
 namespace {
@@ -94,8 +95,10 @@
 void EngineCall::OnEnd(HttpCallResult end) {
   if (finished_) return Emit(*std::move(finished_));
   if (end == HttpCallResult::kConnectFailed) return Interrupt(true);
-  const bool complete =
-      end == HttpCallResult::kComplete && status_ != 0 && !is_stream_;
+  const bool breaks_off =
+      IsEventStreamType(content_type_) && EndsInsideEvent(body_);
+  const bool complete = end == HttpCallResult::kComplete && status_ != 0 &&
+                        !is_stream_ && !breaks_off;
   if (!complete) return Interrupt(false);
   const bool unknown_resume = is_resume_ && status_ == kNotFound;
   if (unknown_resume || (status_ == kUnavailable && ReportsNotRun(body_))) {
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -74,7 +74,7 @@
 
 void GatewayCall::ForwardEvents(std::string_view bytes) {
   std::string events;
-  for (const StreamEvent& event : splitter_.Feed(bytes)) {
+  for (const ServerSentEvent& event : splitter_.Feed(bytes)) {
     ++events_received_;
     const bool already_sent =
         event.id && last_event_id_ && *event.id <= *last_event_id_;
--- a/src/shell/net/event_splitter.cc
+++ b/src/shell/net/event_splitter.cc
@@ -44,9 +44,9 @@
 
 }  // namespace
 
-std::vector<StreamEvent> EventSplitter::Feed(std::string_view bytes) {
+std::vector<ServerSentEvent> EventSplitter::Feed(std::string_view bytes) {
   incomplete_event_.append(bytes);
-  std::vector<StreamEvent> events;
+  std::vector<ServerSentEvent> events;
   std::size_t complete_size = 0;
   const std::string_view buffered = incomplete_event_;
   while (true) {
--- a/src/shell/net/event_splitter.h
+++ b/src/shell/net/event_splitter.h
@@ -8,7 +8,7 @@
 
 namespace coltsfootfork {
 
-struct StreamEvent {
+struct ServerSentEvent {
   // The event as received, including the blank line at its end.
   std::string text;
   // Set if the event has a numeric id.
@@ -21,7 +21,7 @@
 class EventSplitter {
  public:
   // Adds bytes and returns the events that are now complete.
-  std::vector<StreamEvent> Feed(std::string_view bytes);
+  std::vector<ServerSentEvent> Feed(std::string_view bytes);
 
   // Returns the bytes after the last complete event.
   const std::string& incomplete_event() const { return incomplete_event_; }
--- a/tests/adapters/adapter_fixture.cc
+++ b/tests/adapters/adapter_fixture.cc
@@ -68,6 +68,7 @@
                             std::uint32_t first_index) {
   Dispatch dispatch;
   dispatch.request = RequestId(request);
+  dispatch.kind = kind;
   dispatch.method = "POST";
   dispatch.target = "/v1/completions";
   dispatch.content_type = "application/json";
--- a/tests/adapters/adapter_fixture.h
+++ b/tests/adapters/adapter_fixture.h
@@ -39,6 +39,8 @@
     return found;
   }
 
+  // Kind of the submitted requests.
+  RequestKind kind = RequestKind::kGeneration;
   boost::asio::io_context io{1};
   std::vector<EngineToAgent> messages;
   std::vector<Finding> findings;
--- a/tests/adapters/scripted_answers_test.cc
+++ b/tests/adapters/scripted_answers_test.cc
@@ -64,6 +64,30 @@
   BOOST_TEST(findings.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(EventStreamOfPlainServiceMustNotEndInsideAnEvent,
+                        ScriptedServerFixture) {
+  kind = RequestKind::kPlainCall;
+  const std::string events = "id: 1\ndata: x\n\n";
+  for (const std::string rest : {"", "\n", ": end\n"}) {
+    const std::string body = events + rest;
+    const std::string length =
+        "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    BOOST_TEST(OutcomeOfResponse(kStreamHead + "\r\n" + body) == "completed");
+    BOOST_TEST(OutcomeOfResponse(kStreamHead + length + "\r\n" + body) ==
+               "completed");
+  }
+  for (const std::string rest : {"i", "id: 2\n", "data: y", "data: y\n"}) {
+    const std::string body = events + rest;
+    const std::string length =
+        "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    BOOST_TEST(OutcomeOfResponse(kStreamHead + "\r\n" + body) == "interrupted");
+    BOOST_TEST(OutcomeOfResponse(kStreamHead + length + "\r\n" + body) ==
+               "interrupted");
+  }
+  BOOST_TEST(OutcomeOfResponse(kStreamHead + "Content-Length: 500\r\n\r\n" +
+                               events) == "interrupted");
+}
+
 BOOST_FIXTURE_TEST_CASE(EventsAfterTheEndAreIgnored, ScriptedServerFixture) {
   BOOST_TEST(OutcomeOfResponse(kStreamHead + "\r\n" + kToken0 + kFinished +
                                kToken0 + kFinished) == "completed");
--- a/tests/shell/net/event_splitter_test.cc
+++ b/tests/shell/net/event_splitter_test.cc
@@ -9,8 +9,8 @@
   const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
   for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
     EventSplitter splitter;
-    std::vector<StreamEvent> events = splitter.Feed(stream.substr(0, cut));
-    for (StreamEvent& event : splitter.Feed(stream.substr(cut))) {
+    std::vector<ServerSentEvent> events = splitter.Feed(stream.substr(0, cut));
+    for (ServerSentEvent& event : splitter.Feed(stream.substr(cut))) {
       events.push_back(std::move(event));
     }
     BOOST_REQUIRE(events.size() == 2U);
