process: Close the connection of an aborted stream without its last chunk

What callers saw: on the product's own path, a stream whose engine or agent was lost ended with an error event and then the last chunk, so that a caller that does not know the event took the response for complete. Cause: WriteProblem finished the stream in order after the error event. Change: it aborts the stream. The error event is still sent before the connection closes. Evidence: KilledEngineOrAgentEndsTheStreamExplicitly with the added check failed for both victims before. Result: it and FrozenEngineEndsTheStreamExplicitly pass.

--- a/src/shell/process/caller_response.cc
+++ b/src/shell/process/caller_response.cc
@@ -77,12 +77,13 @@
 
 void CallerResponse::WriteProblem(const Problem& problem) {
   if (!started_) return exchange_->Respond(ProblemResponse(problem));
-  // The status has already been sent, so the last event marks the stream as
-  // incomplete.
+  // The status has already been sent. The last event gives the reason, and the
+  // missing last chunk marks the stream as incomplete for callers that do not
+  // know the event.
   exchange_->WriteChunk(
       "event: error\n" +
       FormatEvent("{\"error\":" + ProblemText(problem) + "}"));
-  exchange_->FinishStream();
+  exchange_->AbortStream();
 }
 
 std::string CallerResponse::EventJson(const std::string& text,
--- a/tests/e2e/path_faults_test.cc
+++ b/tests/e2e/path_faults_test.cc
@@ -132,6 +132,7 @@
       path.fleet.Kill(victim + path.Busy());
       Seen seen = ReadAll(stream);
       BOOST_TEST(!seen.done);
+      BOOST_TEST(!stream.ended());
       BOOST_TEST(seen.problem.value("not_run", true) == false);
       BOOST_TEST(!seen.problem.value("reason", std::string()).empty());
       seen.texts.insert(seen.texts.begin(), "a t0");
