gateway: Log engines whose response breaks off at its beginning

Cause: the log does not name the parts of prompts, so that it cannot tell which part the calls of several crashes share, nor how soon after the head of its response a stream ended. Change: the adapter reads the parts of the prompt that other calls may share, all but the last; event 4009 names them, the server's incarnation and the age of the response. No change of what is dispatched.

--- a/src/shell/gateway/call_protocol.h
+++ b/src/shell/gateway/call_protocol.h
@@ -24,6 +24,8 @@
   std::optional<std::chrono::milliseconds> caller_timeout;
   std::uint64_t prompt_tokens = 0;
   std::uint64_t max_output_tokens = 0;
+  // Ids of the parts of the prompt that other calls may share, in order.
+  std::vector<std::string> shared_parts;
   // The caller's estimate of its output length, if it sent one.
   std::optional<std::uint64_t> expected_output_tokens;
   // Id of the last event that the caller received, if it resumes a stream.
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -137,6 +137,7 @@
 
 void GatewayCall::DispatchTo(const ServerChoice& choice, Time now) {
   if (first_dispatched_at_ == Time()) first_dispatched_at_ = now;
+  response_began_at_ = Time();
   attempt_ =
       std::make_shared<BackendAttempt>(context_, PlanAttempt(choice, now));
   attempt_->Start(head_.id, now, MakeAttemptEvents(attempt_, std::nullopt));
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -95,6 +95,8 @@
   void OnBody(std::string_view bytes);
   void OnEnd(ExchangeEnd end);
   void OnStreamEnd(ExchangeEnd end, Time now);
+  // Logs an engine's response that breaks off at its beginning.
+  void ReportCrash(Time now);
   void ForwardEvents(std::string_view bytes);
   // Returns whether the stream's events are within the limits of their number
   // and size.
@@ -196,6 +198,8 @@
   std::size_t buffered_bytes_ = 0;
   ResponseHead response_facts_;
   bool streaming_ = false;
+  // When the head of the current attempt's response arrived; the epoch before.
+  Time response_began_at_;
   // The head of the response was sent to the caller.
   bool response_started_ = false;
   EventSplitter splitter_;
--- a/src/shell/gateway/gateway_call_migration.cc
+++ b/src/shell/gateway/gateway_call_migration.cc
@@ -234,6 +234,7 @@
   attempt_ = std::exchange(next_attempt_, nullptr);
   attempt_ended_ = false;
   source_stopped_ = false;
+  response_began_at_ = MonotonicNow();
   streaming_ = true;
   migration_attempts_ = 0;
   splitter_.DiscardIncompleteEvent();
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -1,9 +1,13 @@
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
+#include <chrono>
+#include <string>
 #include <utility>
 
 #include "shell/clock/monotonic_now.h"
 #include "shell/gateway/gateway_call.h"
 #include "shell/gateway/hop_fields.h"
+#include "shell/log/event.h"
 
 // The response of a GatewayCall's current attempt, and how it is forwarded.
 namespace coltsfootfork {
@@ -20,6 +24,9 @@
 // A stream whose caller does not read it is buffered up to this size. Most
 // complete streams are far smaller.
 constexpr std::size_t kMaxBacklogBytes = 512U << 10U;
+// An engine that crashes on a part of a prompt does so within this time of the
+// response's head. Longer than a slow host takes to forward the first events.
+constexpr Duration kBeginningOfResponse = std::chrono::seconds(1);
 constexpr int kFirstNonSuccessStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
 
@@ -35,6 +42,7 @@
   response_ = head;
   response_facts_ = facts;
   streaming_ = IsEventStream(head);
+  response_began_at_ = MonotonicNow();
   if (!streaming_) return;
   context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/false);
   if (response_started_) return;
@@ -133,6 +141,7 @@
   const bool breaks_off = IsEventStreamType(response_.content_type) &&
                           EndsInsideEvent(response_.body);
   if (!IsReceived(end) || breaks_off) {
+    ReportCrash(now);
     context_.balancer.OnResponse(server, /*failed=*/true);
     return OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
   }
@@ -164,6 +173,7 @@
   unfinished_event_bytes_ = splitter_.incomplete_event().size();
   const bool is_whole = IsReceived(end) && !splitter_.IsInsideEvent();
   if (is_whole && !MayBeStopped(end)) return FinishStream();
+  if (!is_whole) ReportCrash(now);
   closed_between_events_ = is_whole;
   if (!is_whole) splitter_.DiscardIncompleteEvent();
   attempt_ended_ = true;
@@ -175,6 +185,20 @@
   OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
 }
 
+void GatewayCall::ReportCrash(Time now) {
+  const bool is_beginning = now < response_began_at_ + kBeginningOfResponse;
+  if (!is_beginning || !service_->engine || head_.shared_parts.empty()) return;
+  if (last_end_ == ExchangeEnd::kOversized || MayBeStopped(*last_end_)) return;
+  const AttemptPlan& plan = attempt_->plan();
+  Log(LogLevel::kInfo, Event::kServerCrashedAtStart,
+      {{"server", plan.server.value()},
+       {"born", std::to_string(plan.incarnation)},
+       {"call", head_.id.value()},
+       {"service", service_->name.value()},
+       {"parts", boost::algorithm::join(head_.shared_parts, ",")},
+       {"ms", std::to_string(ToMilliseconds(now - response_began_at_))}});
+}
+
 void GatewayCall::FinishStream() {
   // Comments and blank lines after the last event are part of the response.
   exchange_->WriteChunk(splitter_.incomplete_event());
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -67,6 +67,7 @@
       {Event::kServerSaidItLeaves, "server_said_it_leaves"},
       {Event::kServerAskedForTime, "server_asked_for_time"},
       {Event::kServerRateLimit, "server_rate_limit"},
+      {Event::kServerCrashedAtStart, "server_crashed_at_start"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
       {Event::kCallEnded, "call_ended"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -33,6 +33,7 @@
   kServerSaidItLeaves = 4006,
   kServerAskedForTime = 4007,
   kServerRateLimit = 4008,
+  kServerCrashedAtStart = 4009,
   kRequestRefused = 5001,
   kRequestIncomplete = 5002,
   kCallEnded = 5003,
--- a/tests/platform/platform_calls_test.cc
+++ b/tests/platform/platform_calls_test.cc
@@ -48,6 +48,21 @@
   BOOST_TEST(head.expected_output_tokens.value() == 64U);
 }
 
+BOOST_AUTO_TEST_CASE(SharedPartsAreAllButTheLast) {
+  const auto shared_parts = [](const std::string& prefix) {
+    HttpRequest request;
+    request.fields = {{"Prefix-Hash", prefix}};
+    return PlatformCalls().ReadCallHead(request).shared_parts;
+  };
+  const std::vector<std::string> both = {"5c1e", "91bd"};
+  BOOST_TEST(shared_parts("5c1e:800, 91BD:410 ,e440:250") == both);
+  BOOST_TEST(shared_parts("5c1e,91bd,e440") == both);
+  BOOST_TEST(shared_parts("5c1e:800").empty());
+  BOOST_TEST(shared_parts("").empty());
+  BOOST_TEST(shared_parts(":1,,x:2").empty());
+  BOOST_TEST(shared_parts(std::string(100000, ',')).empty());
+}
+
 BOOST_AUTO_TEST_CASE(InvalidFieldsOfCallAreIgnored) {
   HttpRequest request = Request();
   for (HttpField& field : request.fields) {
