--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -40,10 +40,11 @@
 }
 
 void GatewayFixture::Announce(const std::string& id, const std::string& address,
-                              const std::string& service, ServerState state) {
+                              const std::string& service, ServerState state,
+                              std::uint64_t incarnation) {
   ServerRecord record;
   record.id = ServerId(id);
-  record.incarnation = 1;
+  record.incarnation = incarnation;
   record.sequence = ++sequence;
   record.service = ServiceId(service);
   record.address = address;
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -22,7 +22,8 @@
   // Adds a server to the directory, or changes its state.
   void Announce(const std::string& id, const std::string& address,
                 const std::string& service,
-                ServerState state = ServerState::kReady);
+                ServerState state = ServerState::kReady,
+                std::uint64_t incarnation = 1);
   // Sets a plan with the routes "/talk/" (streaming, one attempt), "/verdict/"
   // (resumable, two), "/sale/" (not idempotent, one), "/order/" (not
   // idempotent, two), "/stock/" (idempotent, two) and "/open/" (public), and
--- a/tests/platform/platform_engine.cc
+++ b/tests/platform/platform_engine.cc
@@ -45,6 +45,7 @@
 }
 
 void PlatformEngine::Crash() {
+  ++crashes_;
   const auto runs = std::exchange(runs_, {});
   for (const auto& [call, run] : runs) {
     run->timer.cancel();
@@ -124,6 +125,11 @@
     runs_.erase(found);
   });
   exchange->StartStream({200, "text/event-stream", fields, {}});
+  const std::string parts = "," + Text(request.Field("Prefix-Hash"));
+  if (!deadly_part_.empty() &&
+      parts.find("," + deadly_part_ + ":") != std::string::npos) {
+    return Crash();
+  }
   SendNextEvent(call);
 }
 
--- a/tests/platform/platform_engine.h
+++ b/tests/platform/platform_engine.h
@@ -66,8 +66,12 @@
   void SetFinalTransferDelay(std::chrono::milliseconds delay) {
     final_transfer_delay_ = delay;
   }
+  // Crashes as it begins a response to a call whose prompt has the part; empty
+  // for no part.
+  void SetDeadlyPart(std::string part) { deadly_part_ = std::move(part); }
   // Aborts all streams, as a crash does.
   void Crash();
+  int crashes() const { return crashes_; }
   // Returns whether this engine stores a KV copy with the handle. The handle of
   // a checkpoint is the id of its call.
   bool HasKvCopy(const std::string& handle) const {
@@ -112,6 +116,8 @@
   bool rejects_calls_ = false;
   bool runs_rejected_calls_ = false;
   bool draining_ = false;
+  std::string deadly_part_;
+  int crashes_ = 0;
   FinalTransfer final_transfer_ = FinalTransfer::kStopsRun;
   std::chrono::milliseconds final_transfer_delay_{0};
   bool echoes_call_id_ = false;
