gateway: Quarantine prompt parts that crash engines

What callers saw: calls with one part in their prompts crashed one engine after the other, and with each engine all streams on it were lost. Cause: nothing learned from the crashes; each call was sent wherever there was capacity. Entries cannot learn alone: each of them sees few of the crashes. Change: an entry records the shared parts of a call whose response breaks off at its beginning, and those on which a response was written. The ledgers of all entries are merged through the control processes, as changes in the messages that they send anyway. A part with three crashes and no survival in between is refused with 503, unless a part in more of the crashes explains its own; parts of exactly the same crashes are refused only together. A call on a part with two crashes is not sent to another engine again. All is bounded and ages.

--- a/include/coltsfootfork/core/fleet/fleet_message.h
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "coltsfootfork/core/fleet/crash_ledger.h"
 #include "coltsfootfork/core/fleet/keyed_load.h"
 #include "coltsfootfork/core/fleet/memory_demand.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
@@ -47,6 +48,8 @@
   std::uint64_t plan_version = 0;
   // See Hello.
   bool accepts_parts = false;
+  // What some peer does not have yet of the sender's crash ledger.
+  EncodedCrashes crashes;
 };
 
 struct ReplicaPayload {
@@ -102,6 +105,9 @@
   std::uint64_t directory_digest = 0;
   std::vector<LoadEntry> load;
   std::vector<DemandEntry> demand;
+  // What has changed in the sender's crash ledger since the last report on this
+  // link.
+  EncodedCrashes crashes;
 };
 
 // Sent by a control process to its subscribed entries; also serves as the
@@ -114,6 +120,8 @@
   // Number of the entry's newest report that the last published usage includes;
   // zero for none.
   std::uint64_t included_report = 0;
+  // See EntryReport.
+  EncodedCrashes crashes;
 };
 
 // The server load and unmet memory demand of entries' calls, sent when they
--- a/include/coltsfootfork/core/gateway/gateway_metrics.h
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -25,6 +25,8 @@
   kNoCapacity,
   // All servers of the service requested back-off.
   kServersBackingOff,
+  // A part of the prompt is quarantined since it crashes engines.
+  kQuarantined,
   // No server ran the call.
   kNotRun,
   // The call may have run, but no complete response arrived.
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -58,6 +58,7 @@
   archive("directory", m.directory_digest);
   archive("plan", m.plan_version);
   archive("parts", m.accepts_parts);
+  archive("crashes", m.crashes);
 }
 
 template <typename A>
@@ -112,6 +113,7 @@
   archive("directory", m.directory_digest);
   archive("load", m.load);
   archive("demand", m.demand);
+  archive("crashes", m.crashes);
 }
 
 template <typename A>
@@ -120,6 +122,7 @@
   archive("plan", m.plan_version);
   archive("directory", m.directory_digest);
   archive("report", m.included_report);
+  archive("crashes", m.crashes);
 }
 
 template <typename A>
--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -70,6 +70,8 @@
       return "no_room";
     case CallOutcome::kServersBackingOff:
       return "servers_paused";
+    case CallOutcome::kQuarantined:
+      return "quarantined";
     case CallOutcome::kNotRun:
       return "not_run";
     case CallOutcome::kIncompleteResponse:
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -198,6 +198,7 @@
     Log(LogLevel::kInfo, Event::kLinkUp,
         {{"peer", peer}, {"direction", "outgoing"}});
     peers_[peer].full_usage_sent = false;
+    peers_[peer].sent_crash_revision = 0;
     SendTo(peer,
            Hello{options_.self, /*is_entry=*/false, /*accepts_parts=*/true});
   };
@@ -242,6 +243,7 @@
     SendTo(from, DirectorySyncRequest{directory_.BucketDigests()});
   }
   if (digest.plan_version > plan_.version) RequestPlan(from, now);
+  crashes_.Merge(digest.crashes, now);
   peer.digest = std::move(digest);
   peer.digest_at = now;
 }
@@ -297,6 +299,12 @@
   digest.directory_digest = directory_.digest();
   digest.plan_version = plan_.version;
   digest.accepts_parts = true;
+  // The digest is the same for all peers.
+  std::uint64_t revision = crashes_.revision();
+  for (const auto& [name, peer] : peers_) {
+    if (peer.link) revision = std::min(revision, peer.sent_crash_revision);
+  }
+  digest.crashes = crashes_.Encode(revision, now);
   return digest;
 }
 
@@ -314,6 +322,7 @@
     Connect(name, now);
     if (!peer.link || !peer.link->is_connected()) continue;
     Send(*peer.link, digest);
+    peer.sent_crash_revision = crashes_.revision();
     if (!peer.full_usage_sent) {
       if (!full_report) full_report.emplace(peer_usage_.FullReport());
       Send(*peer.link, *full_report);
@@ -328,6 +337,7 @@
 void ControlNode::TickPeers() {
   const Time now = MonotonicNow();
   directory_.Expire(now);
+  crashes_.Expire(now);
   CloseTimedOutLinks(now);
   const TotalUsage own = OwnEntriesUse();
   UpdatePeers(own, now);
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -15,6 +15,7 @@
 
 #include "coltsfootfork/core/fleet/anti_entropy_timer.h"
 #include "coltsfootfork/core/fleet/bootstrap_coordinator.h"
+#include "coltsfootfork/core/fleet/crash_ledger.h"
 #include "coltsfootfork/core/fleet/fleet_message.h"
 #include "coltsfootfork/core/fleet/plan_state_machine.h"
 #include "coltsfootfork/core/fleet/quorum_tracker.h"
@@ -104,12 +105,15 @@
     // True if a full usage report was sent on the current link, so that deltas
     // can follow.
     bool full_usage_sent = false;
+    // Revision of the crash ledger last sent on the current link.
+    std::uint64_t sent_crash_revision = 0;
   };
   struct Entry {
     std::shared_ptr<FrameLink> link;
     bool is_primary = false;
-    // See Peer::full_usage_sent.
+    // See Peer.
     bool full_usage_sent = false;
+    std::uint64_t sent_crash_revision = 0;
     // Number of the last report received.
     std::uint64_t last_report = 0;
     TotalUsage usage;
@@ -209,6 +213,8 @@
   BootstrapCoordinator bootstrap_;
   QuorumTracker quorum_;
   ServerDirectory directory_;
+  // What entries reported of crashed engines, here or to a peer.
+  CrashLedger crashes_;
   PlanDocument plan_;
   std::map<std::string, Peer> peers_;
   // A link accepted from a peer or an entry; `entry` is set for an entry.
--- a/src/shell/fleet/control_node_entries.cc
+++ b/src/shell/fleet/control_node_entries.cc
@@ -26,6 +26,7 @@
   entry.usage.load = ToKeyed(ToFleetLoad(report.load));
   entry.usage.demand = ToFleetDemand(report.demand);
   entry.plan_version = report.plan_version;
+  crashes_.Merge(report.crashes, now);
   const bool differs = report.directory_digest != directory_.digest();
   if (now >= next_entry_sync_ &&
       entry.anti_entropy.ShouldRequestSync(differs, now)) {
@@ -81,6 +82,8 @@
       Send(*entry.link, *delta);
     }
     update.included_report = entry.last_report;
+    update.crashes = crashes_.Encode(entry.sent_crash_revision, now);
+    entry.sent_crash_revision = crashes_.revision();
     Send(*entry.link, update);
     SendPlanIfOutdated(entry, now);
   }
--- a/src/shell/fleet/control_subscriber.cc
+++ b/src/shell/fleet/control_subscriber.cc
@@ -137,6 +137,7 @@
     subscribed.total_usage = UsageReceiver();
     subscribed.sent_reports.clear();
     subscribed.next_report = 1;
+    subscribed.sent_crash_revision = 0;
     Send(subscribed,
          Hello{options_.name, /*is_entry=*/true, /*accepts_parts=*/true});
     Send(subscribed, DirectorySyncRequest{directory_.BucketDigests()});
@@ -218,6 +219,9 @@
     subscription.stale_since = now;
   }
   subscription.current = update.is_current;
+  if (!update.crashes.empty() && events_.on_crashes) {
+    events_.on_crashes(update.crashes);
+  }
   const bool differs = update.directory_digest != directory_.digest();
   if (subscription.anti_entropy.ShouldRequestSync(differs, now)) {
     Send(subscription, DirectorySyncRequest{directory_.BucketDigests()});
@@ -296,6 +300,14 @@
   events_.on_directory(directory_);
 }
 
+EncodedCrashes ControlSubscriber::UnsentCrashes(Subscription& subscription) {
+  if (!events_.crash_ledger) return {};
+  const CrashLedger& ledger = events_.crash_ledger();
+  const std::uint64_t sent =
+      std::exchange(subscription.sent_crash_revision, ledger.revision());
+  return ledger.Encode(sent, MonotonicNow());
+}
+
 void ControlSubscriber::Report(std::size_t index) {
   Subscription& subscription = subscriptions_[index];
   if (!subscription.link || !subscription.link->is_connected()) return;
@@ -304,6 +316,7 @@
   report.is_primary = index == PrimaryIndex();
   report.plan_version = plan_version_;
   report.directory_digest = directory_.digest();
+  report.crashes = UnsentCrashes(subscription);
   if (report.is_primary) {
     const FleetLoad load = events_.own_load();
     const FleetDemand demand = events_.own_demand();
--- a/src/shell/fleet/control_subscriber.h
+++ b/src/shell/fleet/control_subscriber.h
@@ -43,6 +43,10 @@
   // Return this entry's load and demand; called a few times a second.
   std::function<FleetLoad()> own_load;
   std::function<FleetDemand()> own_demand;
+  // Returns the entry's crash ledger, into which on_crashes merges what the
+  // other processes know. Null for an entry that keeps none.
+  std::function<const CrashLedger&()> crash_ledger;
+  std::function<void(const EncodedCrashes& crashes)> on_crashes;
 };
 
 // Keeps an entry subscribed to two control processes at a time, so that the
@@ -95,6 +99,8 @@
     UsageReceiver total_usage;
     std::deque<SentReport> sent_reports;
     std::uint64_t next_report = 1;
+    // Revision of the crash ledger last sent on the current link.
+    std::uint64_t sent_crash_revision = 0;
   };
 
   void Tick();
@@ -112,6 +118,9 @@
   void Send(Subscription& subscription, const FleetMessage& message);
   void OnDirectoryUpdate(const DirectoryUpdate& directory_update, Time now);
   void Report(std::size_t index);
+  // Returns what has changed in the entry's crash ledger since it was last sent
+  // on this link.
+  EncodedCrashes UnsentCrashes(Subscription& subscription);
   // `reason` is for the log.
   void DropUnhealthy(std::size_t index, const char* reason, Time now);
   std::size_t PrimaryIndex() const;
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -158,6 +158,8 @@
   context_.metrics.Set("gateway_open_calls", calls_.size());
   context_.metrics.Set("gateway_server_connections",
                        context_.pool.open_connections());
+  context_.metrics.Set("gateway_quarantined_parts",
+                       context_.quarantine.Size(MonotonicNow()));
   context_.metrics.Set("gateway_entries", context_.entry_count);
   context_.metrics.Set("gateway_held_answer_bytes",
                        context_.response_buffers.bytes());
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -43,6 +43,14 @@
     return context_.headroom.OwnDemand(now);
   }
 
+  // What this entry knows of crashed engines, and what other processes know.
+  const CrashLedger& crash_ledger() const {
+    return context_.quarantine.ledger();
+  }
+  void MergeCrashes(const EncodedCrashes& crashes, Time now) {
+    context_.quarantine.Merge(crashes, now);
+  }
+
   // Sets the handler of drain notices that servers send in responses.
   void OnDrainNotice(
       std::function<void(const ServerId& server, std::uint64_t incarnation)>
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -91,6 +91,7 @@
     return Refuse(*refusal);
   }
   ChooseService();
+  if (RefuseIfQuarantined(now)) return;
   StartDeadlineTimer(now);
   context_.budget.CountFirstAttempt(service_->name, now);
   if (service_->engine) {
@@ -217,7 +218,8 @@
   history.deadline = deadline_;
   history.budget_allows = context_.budget.AllowsRetry(service_->name, now);
   history.untried_server_available =
-      context_.balancer.CanServe(MakeServerQuery(now), now);
+      context_.balancer.CanServe(MakeServerQuery(now), now) &&
+      !context_.quarantine.IsSuspect(prompt_parts_, now);
   return history;
 }
 
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -65,6 +65,9 @@
   std::optional<Refusal> ShutdownRefusal() const;
   std::uint32_t RankFor(const PlanWorkspace* workspace) const;
   void ChooseService();
+  // Refuses the call if a part of its prompt is quarantined. Returns whether it
+  // was refused.
+  bool RefuseIfQuarantined(Time now);
   void StartDeadlineTimer(Time now);
 
   // Dispatch.
@@ -95,7 +98,9 @@
   void OnBody(std::string_view bytes);
   void OnEnd(ExchangeEnd end);
   void OnStreamEnd(ExchangeEnd end, Time now);
-  // Logs an engine's response that breaks off at its beginning.
+  // Tell the quarantine that the engine wrote a response, or that it broke off
+  // while it began one.
+  void ReportSurvival(Time now);
   void ReportCrash(Time now);
   void ForwardEvents(std::string_view bytes);
   // Returns whether the stream's events are within the limits of their number
@@ -173,6 +178,8 @@
   std::uint32_t rank_ = 0;
   // Predicted peak memory.
   std::uint64_t predicted_tokens_ = 0;
+  // The shared parts of the prompt of a call to an engine.
+  std::vector<PartKey> prompt_parts_;
 
   std::shared_ptr<BackendAttempt> attempt_;
   // The attempt to resume the stream on another server, until that server
@@ -200,6 +207,8 @@
   bool streaming_ = false;
   // When the head of the current attempt's response arrived; the epoch before.
   Time response_began_at_;
+  // The engine has written a response on the prompt without a crash.
+  bool survived_ = false;
   // The head of the response was sent to the caller.
   bool response_started_ = false;
   EventSplitter splitter_;
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -1,11 +1,14 @@
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <chrono>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "shell/clock/monotonic_now.h"
 #include "shell/gateway/gateway_call.h"
+#include "shell/log/event.h"
 
 // Admission of a GatewayCall: its route, workspace, service and rank, and the
 // admission queue.
@@ -66,6 +69,28 @@
       head_.prompt_tokens +
       context_.output_lengths.Predict(route_->name, head_.max_output_tokens,
                                       head_.expected_output_tokens);
+  for (const std::string& part : head_.shared_parts) {
+    prompt_parts_.push_back(PartKeyOf(service_->name, part));
+  }
+}
+
+bool GatewayCall::RefuseIfQuarantined(Time now) {
+  const auto verdict = context_.quarantine.FindQuarantined(prompt_parts_, now);
+  if (!verdict) return false;
+  std::vector<std::string> parts;
+  for (const std::size_t i : verdict->parts) {
+    parts.push_back(head_.shared_parts[i]);
+  }
+  const auto remaining =
+      std::chrono::ceil<std::chrono::milliseconds>(verdict->remaining);
+  Log(LogLevel::kInfo, Event::kPromptPartRefused,
+      {{"id", head_.id.value()},
+       {"parts", boost::algorithm::join(parts, ",")},
+       {"service", service_->name.value()},
+       {"crashes", std::to_string(verdict->crashes)},
+       {"remaining_ms", std::to_string(remaining.count())}});
+  Refuse({CallOutcome::kQuarantined, 503, remaining});
+  return true;
 }
 
 bool GatewayCall::Hold(Time now) {
@@ -92,7 +117,10 @@
   if (finished_ || !std::exchange(held_, false)) return;
   delay_timer_.cancel();
   // A call that has a route keeps the plan that the route belongs to.
-  if (route_ != nullptr) return DispatchToBestServer(now);
+  if (route_ != nullptr) {
+    if (!RefuseIfQuarantined(now)) DispatchToBestServer(now);
+    return;
+  }
   plan_ = context_.plan;
   Admit(now);
 }
@@ -133,6 +161,7 @@
 }
 
 bool GatewayCall::TryDispatchQueued(Time now) {
+  if (RefuseIfQuarantined(now)) return true;
   const auto choice = context_.balancer.Pick(MakeServerQuery(now), now);
   if (!choice) {
     // Queueing does not help while all servers are backing off.
@@ -159,6 +188,7 @@
 void GatewayCall::OnQueueWaitExpired() {
   LeaveAdmissionQueue();
   const Time now = MonotonicNow();
+  if (RefuseIfQuarantined(now)) return;
   const auto choice = context_.balancer.Pick(MakeServerQuery(now), now);
   // A call of the most urgent rank is dispatched anyway: the engine preempts
   // other calls for it.
--- a/src/shell/gateway/gateway_call_migration.cc
+++ b/src/shell/gateway/gateway_call_migration.cc
@@ -235,6 +235,7 @@
   attempt_ended_ = false;
   source_stopped_ = false;
   response_began_at_ = MonotonicNow();
+  survived_ = false;
   streaming_ = true;
   migration_attempts_ = 0;
   splitter_.DiscardIncompleteEvent();
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -43,6 +43,7 @@
   response_facts_ = facts;
   streaming_ = IsEventStream(head);
   response_began_at_ = MonotonicNow();
+  survived_ = false;
   if (!streaming_) return;
   context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/false);
   if (response_started_) return;
@@ -100,6 +101,7 @@
   const bool first = first_event_at_ == Time();
   attempt_->OnPrefillDone();
   RecordEventTimes(now);
+  if (now >= response_began_at_ + kBeginningOfResponse) ReportSurvival(now);
   UpdatePredictedLength();
   // The drain notice arrived before the stream started.
   if (migration_pending_ && first) Migrate(now);
@@ -178,16 +180,23 @@
   if (!is_whole) splitter_.DiscardIncompleteEvent();
   attempt_ended_ = true;
   if (next_attempt_ || (migration_ && migration_->is_stopping())) return;
-  if (CanMigrate() && (TryResumeFromCopy(now) || TryResumeFromBackup(now))) {
+  const bool may_resume =
+      CanMigrate() && !context_.quarantine.IsSuspect(prompt_parts_, now);
+  if (may_resume && (TryResumeFromCopy(now) || TryResumeFromBackup(now))) {
     return;
   }
   context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/true);
   OnAttemptFailed(AttemptResult::kIncompleteResponse, now);
 }
 
+void GatewayCall::ReportSurvival(Time now) {
+  if (std::exchange(survived_, true)) return;
+  context_.quarantine.OnSurvival(prompt_parts_, now);
+}
+
 void GatewayCall::ReportCrash(Time now) {
   const bool is_beginning = now < response_began_at_ + kBeginningOfResponse;
-  if (!is_beginning || !service_->engine || head_.shared_parts.empty()) return;
+  if (!is_beginning || prompt_parts_.empty()) return;
   if (last_end_ == ExchangeEnd::kOversized || MayBeStopped(*last_end_)) return;
   const AttemptPlan& plan = attempt_->plan();
   Log(LogLevel::kInfo, Event::kServerCrashedAtStart,
@@ -197,9 +206,12 @@
        {"service", service_->name.value()},
        {"parts", boost::algorithm::join(head_.shared_parts, ",")},
        {"ms", std::to_string(ToMilliseconds(now - response_began_at_))}});
+  context_.quarantine.OnCrash(prompt_parts_,
+                              CrashKeyOf(plan.server, plan.incarnation), now);
 }
 
 void GatewayCall::FinishStream() {
+  ReportSurvival(MonotonicNow());
   // Comments and blank lines after the last event are part of the response.
   exchange_->WriteChunk(splitter_.incomplete_event());
   exchange_->FinishStream();
@@ -213,6 +225,9 @@
   if (response_started_) {
     return AbortStartedResponse(CallOutcome::kResponseAborted);
   }
+  if (response_.status < kFirstNonSuccessStatus) {
+    ReportSurvival(MonotonicNow());
+  }
   const int status = response_.status;
   response_.fields = EndToEndFields(response_.fields);
   exchange_->Respond(std::move(response_));
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -16,6 +16,7 @@
 #include "coltsfootfork/core/gateway/load_balancer.h"
 #include "coltsfootfork/core/gateway/output_length_predictor.h"
 #include "coltsfootfork/core/gateway/plan_index.h"
+#include "coltsfootfork/core/gateway/prompt_quarantine.h"
 #include "coltsfootfork/core/gateway/response_buffer_budget.h"
 #include "coltsfootfork/core/gateway/retry_age_estimator.h"
 #include "coltsfootfork/core/gateway/startup_hold.h"
@@ -66,6 +67,7 @@
   GatewayRetryBudget budget;
   ConnectionPool pool;
   AdmissionQueue admission_queue;
+  PromptQuarantine quarantine;
   RetryAgeEstimator retry_age;
   OutputLengthPredictor output_lengths;
   ResponseBufferBudget response_buffers;
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -75,6 +75,7 @@
       {Event::kStreamCarried, "stream_carried"},
       {Event::kCarryRefused, "carry_refused"},
       {Event::kStreamMoved, "stream_moved"},
+      {Event::kPromptPartRefused, "prompt_part_refused"},
       {Event::kBecameLeader, "became_leader"},
       {Event::kLostLeadership, "lost_leadership"},
       {Event::kReplicaFailed, "replica_failed"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -41,6 +41,7 @@
   kStreamCarried = 5005,
   kCarryRefused = 5006,
   kStreamMoved = 5007,
+  kPromptPartRefused = 5008,
   kBecameLeader = 6001,
   kLostLeadership = 6002,
   kReplicaFailed = 6003,
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -69,6 +69,12 @@
     gateway_.SetEntryCount(entries, MonotonicNow());
   };
   events.own_load = [this] { return gateway_.OwnLoad(); };
+  events.crash_ledger = [this]() -> const CrashLedger& {
+    return gateway_.crash_ledger();
+  };
+  events.on_crashes = [this](const EncodedCrashes& crashes) {
+    gateway_.MergeCrashes(crashes, MonotonicNow());
+  };
   events.own_demand = [this] { return gateway_.OwnDemand(MonotonicNow()); };
   control_subscriber_ = std::make_unique<ControlSubscriber>(
       io,
--- a/tests/core/fleet/fleet_message_test.cc
+++ b/tests/core/fleet/fleet_message_test.cc
@@ -46,12 +46,14 @@
   EntryReport report;
   report.is_primary = true;
   report.load = {{ServerId("i-1"), {3, 9000, 2000}}};
+  report.crashes = {~std::uint64_t{0}, 2, 3};
   const auto decoded = DecodeFleetMessage(EncodeFleetMessage(report));
   BOOST_REQUIRE(decoded.has_value());
   const auto& decoded_report = std::get<EntryReport>(*decoded);
   BOOST_TEST(decoded_report.is_primary);
   BOOST_REQUIRE(decoded_report.load.size() == 1U);
   BOOST_TEST(decoded_report.load[0].load.pending_prefill_tokens == 2000U);
+  BOOST_TEST(decoded_report.crashes == report.crashes);
 }
 
 BOOST_AUTO_TEST_CASE(MalformedBytesAreRejected) {
--- a/tests/platform/control_test.cc
+++ b/tests/platform/control_test.cc
@@ -355,6 +355,50 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(EntriesLearnOfCrashesFromEachOther) {
+  ControlGroup group(3, 3);
+  group.PutUntilAccepted(0, 5);
+  std::array<CrashLedger, 3> ledgers;
+  std::array<std::unique_ptr<ControlSubscriber>, 3> entries;
+  const auto start_entry = [&](std::uint32_t i) {
+    ControlSubscriberEvents events;
+    events.on_plan = [](const PlanDocument&) {};
+    events.on_directory = [](const ServerDirectory&) {};
+    events.on_usage = [](const FleetLoad&, const FleetDemand&, std::uint32_t) {
+    };
+    events.own_load = [] { return FleetLoad(); };
+    events.own_demand = [] { return FleetDemand(); };
+    events.crash_ledger = [&, i]() -> const CrashLedger& {
+      return ledgers.at(i);
+    };
+    events.on_crashes = [&, i](const EncodedCrashes& crashes) {
+      ledgers.at(i).Merge(crashes, MonotonicNow());
+    };
+    entries.at(i) = std::make_unique<ControlSubscriber>(
+        group.io,
+        ControlSubscriberOptions{
+            "entry-" + std::to_string(i), {group.processes[i].address}, i},
+        std::move(events));
+  };
+  start_entry(0);
+  start_entry(1);
+  group.RunUntil(
+      [&] { return entries[0]->has_synced() && entries[1]->has_synced(); });
+  const PartKey part = 7;
+  ledgers[0].AddCrash(part, 1, MonotonicNow(), MonotonicNow());
+  ledgers[1].AddCrash(part, 2, MonotonicNow(), MonotonicNow());
+  const auto crashes_at = [&](std::size_t i) {
+    const auto* history = ledgers.at(i).Find(part);
+    return history == nullptr ? 0 : history->crashes.size();
+  };
+  group.RunUntil([&] { return crashes_at(0) == 2 && crashes_at(1) == 2; });
+  // An entry that starts later receives all that is known.
+  start_entry(2);
+  group.RunUntil([&] { return crashes_at(2) == 2; });
+  ledgers[1].AddSurvival(part, MonotonicNow());
+  group.RunUntil([&] { return crashes_at(0) == 0 && crashes_at(2) == 0; });
+}
+
 BOOST_AUTO_TEST_CASE(InvalidHeartbeatIsRefusedAndNotStored) {
   ControlGroup group(1, 1);
   BOOST_TEST(
