--- a/tests/platform/platform_engine.cc
+++ b/tests/platform/platform_engine.cc
@@ -126,8 +126,8 @@
   });
   exchange->StartStream({200, "text/event-stream", fields, {}});
   const std::string parts = "," + Text(request.Field("Prefix-Hash"));
-  if (!deadly_part_.empty() &&
-      parts.find("," + deadly_part_ + ":") != std::string::npos) {
+  if (!poison_part_.empty() &&
+      parts.find("," + poison_part_ + ":") != std::string::npos) {
     return Crash();
   }
   SendNextEvent(call);
--- a/tests/platform/platform_engine.h
+++ b/tests/platform/platform_engine.h
@@ -68,7 +68,7 @@
   }
   // Crashes as it begins a response to a call whose prompt has the part; empty
   // for no part.
-  void SetDeadlyPart(std::string part) { deadly_part_ = std::move(part); }
+  void SetPoisonPart(std::string part) { poison_part_ = std::move(part); }
   // Aborts all streams, as a crash does.
   void Crash();
   int crashes() const { return crashes_; }
@@ -116,7 +116,7 @@
   bool rejects_calls_ = false;
   bool runs_rejected_calls_ = false;
   bool draining_ = false;
-  std::string deadly_part_;
+  std::string poison_part_;
   int crashes_ = 0;
   FinalTransfer final_transfer_ = FinalTransfer::kStopsRun;
   std::chrono::milliseconds final_transfer_delay_{0};
--- a/tests/platform/deadly_part_test.cc
+++ b/tests/platform/poison_part_test.cc
@@ -11,7 +11,7 @@
 namespace coltsfootfork {
 namespace {
 
-constexpr const char* kDeadlyPart = "dead01";
+constexpr const char* kPoisonPart = "bad001";
 // Crashes from which the fleet has to learn, and calls that may still reach
 // engines after them.
 constexpr int kMaxCrashes = 5;
@@ -24,7 +24,7 @@
       engines.push_back(std::make_unique<PlatformEngine>(
           fixture.io, "i-" + std::to_string(i)));
       engines.back()->SetEventsPerStream(3);
-      engines.back()->SetDeadlyPart(kDeadlyPart);
+      engines.back()->SetPoisonPart(kPoisonPart);
     }
     Announce();
   }
@@ -70,21 +70,21 @@
 
 BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesIsRefusedAtOnce) {
   Engines engines;
-  // Sound calls share the first part with the deadly ones.
+  // Sound calls share the first part with them.
   for (int i = 0; i < 10; ++i) engines.Call("aa01:100,bb01:20");
   for (int i = 0; i < kMaxCrashes; ++i) {
-    engines.Call("aa01:100," + std::string(kDeadlyPart) + ":20");
+    engines.Call("aa01:100," + std::string(kPoisonPart) + ":20");
   }
   engines.Wait(std::chrono::seconds(2));
   for (int i = 0; i < 20; ++i) {
-    engines.Call("aa01:100," + std::string(kDeadlyPart) + ":20");
+    engines.Call("aa01:100," + std::string(kPoisonPart) + ":20");
     const auto sound = engines.Call("aa01:100,bb01:20");
     BOOST_REQUIRE(sound.has_value());
     BOOST_TEST(sound->status == 200);
   }
   BOOST_TEST(engines.Crashes() <= kMaxCrashes + kMaxCallsAfterwards);
   const auto refused =
-      engines.Call("aa01:100," + std::string(kDeadlyPart) + ":20");
+      engines.Call("aa01:100," + std::string(kPoisonPart) + ":20");
   BOOST_REQUIRE(refused.has_value());
   BOOST_TEST(refused->status == 503);
   BOOST_TEST(FieldOf(*refused, "Retry-After") != "");
@@ -94,12 +94,12 @@
   Engines engines;
   for (int i = 0; i < 40; ++i) engines.Call("aa01:100", "/verdict/1");
   for (int i = 0; i < kMaxCrashes; ++i) {
-    engines.Call(std::string(kDeadlyPart) + ":20", "/verdict/1");
+    engines.Call(std::string(kPoisonPart) + ":20", "/verdict/1");
   }
   engines.Wait(std::chrono::seconds(2));
   const int crashes = engines.Crashes();
   for (int i = 0; i < 20; ++i) {
-    engines.Call(std::string(kDeadlyPart) + ":20", "/verdict/1");
+    engines.Call(std::string(kPoisonPart) + ":20", "/verdict/1");
   }
   BOOST_TEST(engines.Crashes() <= crashes + kMaxCallsAfterwards);
 }
