gateway: Abort closed streams that have no event

What callers saw: a stream with neither a length nor chunks whose engine closed the connection after the head was an empty stream, framed as complete. Cause: no part of an event was left, so that the orderly close counted as the end. An engine that breaks off as it begins leaves nothing else. Change: without a length or chunks a stream needs an event to be complete, in the gateway, on plain routes and on the agents' path. Comments are no events.

--- a/src/adapters/engine_call.cc
+++ b/src/adapters/engine_call.cc
@@ -35,6 +35,8 @@
   status_ = static_cast<int>(head.result_int());
   content_type_ = std::string(head[http::field::content_type]);
   is_stream_ = kind_ == RequestKind::kGeneration && status_ == kOk;
+  is_delimited_ = !head[http::field::content_length].empty() ||
+                  !head[http::field::transfer_encoding].empty();
   const auto response_request_id = head["X-Request-Id"];
   if (!response_request_id.empty() && response_request_id != request_.value()) {
     Report("the answer names another request");
@@ -95,8 +97,8 @@
 void EngineCall::OnEnd(HttpCallResult end) {
   if (finished_) return Emit(*std::move(finished_));
   if (end == HttpCallResult::kConnectFailed) return Interrupt(true);
-  const bool breaks_off =
-      IsEventStreamType(content_type_) && EndsInsideEvent(body_);
+  const bool breaks_off = IsEventStreamType(content_type_) &&
+                          !IsCompleteEventStream(body_, is_delimited_);
   const bool complete = end == HttpCallResult::kComplete && status_ != 0 &&
                         !is_stream_ && !breaks_off;
   if (!complete) return Interrupt(false);
--- a/src/adapters/engine_call.h
+++ b/src/adapters/engine_call.h
@@ -51,6 +51,8 @@
   bool stopped_ = false;
   int status_ = 0;
   std::string content_type_;
+  // The response has a length or chunks.
+  bool is_delimited_ = false;
   bool is_stream_ = false;
   bool stopped_by_event_ = false;
   // The response body, unless the response is a stream.
--- a/src/shell/gateway/gateway_call_migration.cc
+++ b/src/shell/gateway/gateway_call_migration.cc
@@ -238,7 +238,7 @@
   survived_ = false;
   streaming_ = true;
   migration_attempts_ = 0;
-  splitter_.DiscardIncompleteEvent();
+  splitter_.Restart();
 }
 
 void GatewayCall::OnMigrationRefused(Time now) {
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -44,6 +44,7 @@
   streaming_ = IsEventStream(head);
   response_began_at_ = MonotonicNow();
   survived_ = false;
+  splitter_.Restart();
   if (!streaming_) return;
   context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/false);
   if (response_started_) return;
@@ -140,8 +141,9 @@
     context_.metrics.Count(GatewayCounter::kOversizedResponse);
   }
   if (streaming_) return OnStreamEnd(end, now);
-  const bool breaks_off = IsEventStreamType(response_.content_type) &&
-                          EndsInsideEvent(response_.body);
+  const bool breaks_off =
+      IsEventStreamType(response_.content_type) &&
+      !IsCompleteEventStream(response_.body, end == ExchangeEnd::kComplete);
   if (!IsReceived(end) || breaks_off) {
     ReportCrash(now);
     context_.balancer.OnResponse(server, /*failed=*/true);
@@ -173,7 +175,10 @@
 
 void GatewayCall::OnStreamEnd(ExchangeEnd end, Time now) {
   unfinished_event_bytes_ = splitter_.incomplete_event().size();
-  const bool is_whole = IsReceived(end) && !splitter_.IsInsideEvent();
+  // A server that closes the connection before the first event has broken off.
+  const bool is_delimited = end == ExchangeEnd::kComplete;
+  const bool is_whole = IsReceived(end) && !splitter_.IsInsideEvent() &&
+                        (is_delimited || splitter_.has_events());
   if (is_whole && !MayBeStopped(end)) return FinishStream();
   if (!is_whole) ReportCrash(now);
   closed_between_events_ = is_whole;
--- a/src/shell/net/event_splitter.cc
+++ b/src/shell/net/event_splitter.cc
@@ -42,6 +42,18 @@
   return id;
 }
 
+// Returns whether the lines include one that is neither blank nor a comment.
+bool HasField(std::string_view lines) {
+  while (!lines.empty()) {
+    const std::size_t end = lines.find('\n');
+    const std::string_view line = lines.substr(0, end);
+    const bool is_blank = line.empty() || line == "\r";
+    if (!is_blank && line.front() != ':') return true;
+    lines.remove_prefix(end == std::string_view::npos ? lines.size() : end + 1);
+  }
+  return false;
+}
+
 }  // namespace
 
 std::vector<ServerSentEvent> EventSplitter::Feed(std::string_view bytes) {
@@ -54,6 +66,7 @@
     if (end == std::string_view::npos) break;
     const std::string_view event = buffered.substr(complete_size, end);
     events.push_back({std::string(event), ParseEventId(event)});
+    has_events_ = has_events_ || HasField(event);
     complete_size += end;
   }
   incomplete_event_.erase(0, complete_size);
@@ -61,16 +74,8 @@
 }
 
 bool EventSplitter::IsInsideEvent() const {
-  std::string_view rest = incomplete_event_;
-  while (!rest.empty()) {
-    const std::size_t end = rest.find('\n');
-    if (end == std::string_view::npos) return true;
-    const std::string_view line = rest.substr(0, end);
-    const bool is_blank = line.empty() || line == "\r";
-    if (!is_blank && line.front() != ':') return true;
-    rest.remove_prefix(end + 1);
-  }
-  return false;
+  const std::string_view rest = incomplete_event_;
+  return HasField(rest) || (!rest.empty() && rest.back() != '\n');
 }
 
 bool IsEventStreamType(std::string_view content_type) {
@@ -79,10 +84,10 @@
   return boost::beast::iequals({type.data(), type.size()}, "text/event-stream");
 }
 
-bool EndsInsideEvent(std::string_view body) {
+bool IsCompleteEventStream(std::string_view body, bool is_delimited) {
   EventSplitter splitter;
   splitter.Feed(body);
-  return splitter.IsInsideEvent();
+  return !splitter.IsInsideEvent() && (is_delimited || splitter.has_events());
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/net/event_splitter.h
+++ b/src/shell/net/event_splitter.h
@@ -29,17 +29,24 @@
   // line is unfinished or belongs to an event. Comments and blank lines may
   // follow the last event.
   bool IsInsideEvent() const;
+  // Returns whether an event, and not only comments, is complete.
+  bool has_events() const { return has_events_; }
   // Discards the bytes of an event that will not be completed.
   void DiscardIncompleteEvent() { incomplete_event_.clear(); }
+  // Prepares for the next response.
+  void Restart() { *this = EventSplitter(); }
 
  private:
   std::string incomplete_event_;
+  bool has_events_ = false;
 };
 
 // Returns whether a Content-Type field denotes a stream of events.
 bool IsEventStreamType(std::string_view content_type);
 
-// Returns whether a whole body of events ends inside an event.
-bool EndsInsideEvent(std::string_view body);
+// Returns whether the body is a complete stream: it does not end inside an
+// event. If nothing but the end of the connection delimits the body, it has an
+// event, since a server that breaks off at the beginning leaves none.
+bool IsCompleteEventStream(std::string_view body, bool is_delimited);
 
 }  // namespace coltsfootfork
--- a/tests/adapters/scripted_answers_test.cc
+++ b/tests/adapters/scripted_answers_test.cc
@@ -84,6 +84,9 @@
     BOOST_TEST(OutcomeOfResponse(kStreamHead + length + "\r\n" + body) ==
                "interrupted");
   }
+  BOOST_TEST(OutcomeOfResponse(kStreamHead + "\r\n") == "interrupted");
+  BOOST_TEST(OutcomeOfResponse(kStreamHead + "Content-Length: 0\r\n\r\n") ==
+             "completed");
   BOOST_TEST(OutcomeOfResponse(kStreamHead + "Content-Length: 500\r\n\r\n" +
                                events) == "interrupted");
 }
--- a/tests/platform/response_end_test.cc
+++ b/tests/platform/response_end_test.cc
@@ -104,6 +104,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ClosedStreamWithoutEventsIsNotComplete) {
+  for (const char* body : {"", "\n", ": begin\n\n"}) {
+    for (const char* path : {"/talk/1", "/sale/1"}) {
+      for (const Framing framing : kFramings) {
+        const auto response =
+            FetchThroughGateway(path, framing, kEventStream, body, 0, false);
+        BOOST_TEST(IsCompleteSuccess(response) == (framing != Framing::kNone));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TruncatedOrResetResponseIsNotComplete) {
   for (const char* path : {"/talk/1", "/sale/1"}) {
     for (const std::string type : {kEventStream, "text/plain"}) {
--- a/tests/shell/net/event_splitter_test.cc
+++ b/tests/shell/net/event_splitter_test.cc
@@ -43,6 +43,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(CommentsAreNoEvents) {
+  EventSplitter splitter;
+  splitter.Feed(": c\n\n\r\ndata: a\n");
+  BOOST_TEST(!splitter.has_events());
+  splitter.Feed("\n");
+  BOOST_TEST(splitter.has_events());
+  splitter.Restart();
+  BOOST_TEST(!splitter.has_events());
+  BOOST_TEST(IsCompleteEventStream("", /*is_delimited=*/true));
+  BOOST_TEST(!IsCompleteEventStream("", /*is_delimited=*/false));
+  BOOST_TEST(IsCompleteEventStream("data: a\n\n", /*is_delimited=*/false));
+  BOOST_TEST(!IsCompleteEventStream("data: a\n", /*is_delimited=*/true));
+}
+
 BOOST_AUTO_TEST_CASE(NonNumericEventIdIsIgnored) {
   EventSplitter splitter;
   const auto events = splitter.Feed("id: x\ndata: a\n\ndata: b\n\n");
