tests: Test that a crash which closes its connections in order is learned

Cause: platform_poison_part played engines whose streams are chunked, so that each crash truncated them. Change: the same calls with streams that have neither a length nor chunks.

--- a/tests/platform/poison_part_test.cc
+++ b/tests/platform/poison_part_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/close_delimiting_proxy.h"
 #include "platform/gateway_fixture.h"
 #include "platform/platform_engine.h"
 
@@ -18,13 +19,19 @@
 constexpr int kMaxCallsAfterwards = 3;
 
 struct Engines {
-  Engines() {
+  // `closes_in_order`: responses have neither a length nor chunks, so that a
+  // crash looks like their end.
+  explicit Engines(bool closes_in_order = false) {
     fixture.SetPlan();
     for (int i = 0; i < 8; ++i) {
       engines.push_back(std::make_unique<PlatformEngine>(
           fixture.io, "i-" + std::to_string(i)));
       engines.back()->SetEventsPerStream(3);
       engines.back()->SetPoisonPart(kPoisonPart);
+      if (!closes_in_order) continue;
+      proxies.push_back(std::make_unique<CloseDelimitingProxy>(
+          fixture.io, engines.back()->address()));
+      engines.back()->SetAddress(proxies.back()->address());
     }
     Announce();
   }
@@ -65,6 +72,7 @@
 
   GatewayFixture fixture;
   std::vector<std::unique_ptr<PlatformEngine>> engines;
+  std::vector<std::unique_ptr<CloseDelimitingProxy>> proxies;
   int calls = 0;
 };
 
@@ -90,6 +98,14 @@
   BOOST_TEST(FieldOf(*refused, "Retry-After") != "");
 }
 
+BOOST_AUTO_TEST_CASE(CrashThatClosesTheConnectionInOrderIsLearned) {
+  Engines engines(/*closes_in_order=*/true);
+  for (int i = 0; i < 20; ++i) {
+    engines.Call("aa01:100," + std::string(kPoisonPart) + ":20");
+  }
+  BOOST_TEST(engines.Crashes() <= kMaxCrashes);
+}
+
 BOOST_AUTO_TEST_CASE(ResumableCallDoesNotCrashFurtherEngines) {
   Engines engines;
   for (int i = 0; i < 40; ++i) engines.Call("aa01:100", "/verdict/1");
