fleet: Send old crash records only for connected peers

Cause: a control process whose peer is unreachable and reconnects again and again put its whole crash ledger into each digest, for all peers. Change: only peers that are connected count as lacking records; a new connection begins with everything. The comment on the quarantine's verdict speaks of all its parts. Result: found by reading; platform_control, control_subscriber, fleet_core and gateway_core pass.

--- a/include/coltsfootfork/core/gateway/prompt_quarantine.h
+++ b/include/coltsfootfork/core/gateway/prompt_quarantine.h
@@ -26,9 +26,9 @@
   struct Verdict {
     // Indexes of the parts that are to blame, in the list that was asked for.
     std::vector<std::size_t> parts;
-    // Crashes of engines that are known of it.
+    // Crashes of engines that are known of them.
     std::size_t crashes = 0;
-    // How long calls with the part are refused.
+    // How long calls with these parts are refused.
     Duration remaining{0};
   };
   // Returns nullopt if a call with these parts is not refused.
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -302,7 +302,8 @@
   // The digest is the same for all peers.
   std::uint64_t revision = crashes_.revision();
   for (const auto& [name, peer] : peers_) {
-    if (peer.link) revision = std::min(revision, peer.sent_crash_revision);
+    if (!peer.link || !peer.link->is_connected()) continue;
+    revision = std::min(revision, peer.sent_crash_revision);
   }
   digest.crashes = crashes_.Encode(revision, now);
   return digest;
