review: Script in which an entry cuts streams that it took after SIGTERM

Cause: an entry takes requests until 3.2 s after SIGTERM and exits at 7.75 s; the rule excuses what was sent up to 3.0 s.

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,72 +1,65 @@
-// The desired state grows by many routes, and then changes a few hundred times.
-// The platform ends each process that uses more than memory_mb, and starts it
-// again.
-#include <algorithm>
+// An entry is stopped with SIGTERM. Consumers with kept, idle connections to it
+// send requests for streams a little later than three seconds after that.
+#include <unistd.h>
+
 #include <atomic>
 #include <csignal>
+#include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "engine.h"
 #include "harness.h"
 
 namespace {
 
 using review::Note;
 
-// Of the site: memory_mb, and the count of big_config.
-constexpr double kMemoryMegabytes = 88;
-constexpr int kBigConfigRoutes = 1400;
+constexpr int kConsumers = 8;
+// Of the rule LOST: what is sent no later than this is excused.
+constexpr double kExcusedSeconds = 3.0;
+constexpr double kFirstSend = 3.05;
+constexpr double kLastSend = 3.15;
+// Of the site: grace_s.
+constexpr double kGraceSeconds = 8.0;
+constexpr int kEvents = 80;
 constexpr double kGapSeconds = 0.1;
-constexpr double kRestartSeconds = 0.5;
-constexpr double kEndSeconds = 100;
-// Of the rules: Fault.
-constexpr int kEndsForFault = 3;
-
-std::string Route(int number, int timeout_ms) {
-  const std::string name = std::to_string(100000 + number);
-  return R"({"name":"r-)" + name + R"(","host":"ficu95.example",)" +
-         R"("path_prefix":"/pufi)" + name +
-         R"(/","kind":"idempotent","timeout_ms":)" +
-         std::to_string(timeout_ms) +
-         R"(,"goal_ms":1500,"priority":0,"service":"ledger",)" +
-         R"("max_attempts":2,"public":false,"sticky":false,)" +
-         R"("resumable":false})";
-}
 
-std::string Document(int version, int routes) {
-  std::string text = R"({"version":)" + std::to_string(version) +
-                     R"(,"routes":[)" + Route(0, 2000 + version);
-  for (int i = 1; i <= routes; ++i) text += "," + Route(i, 2000);
-  return text + R"(],"services":[{"name":"ledger","health_path":"/healthz",)" +
-         R"("max_conns":130,"protocol":"h1","tls":false}],)" +
-         R"("limits":{"header_bytes":16384,"body_bytes":4194304,)" +
-         R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)" +
+std::string Document() {
+  return R"({"version":1,"routes":[{"name":"r1","host":"a.example",)"
+         R"("path_prefix":"/x/","kind":"idempotent","timeout_ms":2000,)"
+         R"("goal_ms":300,"priority":2,"service":"mirror","max_attempts":2,)"
+         R"("public":false},{"name":"r2","host":"a.example",)"
+         R"("path_prefix":"/talk/","kind":"streaming","timeout_ms":39000,)"
+         R"("goal_ms":4000,"priority":0,"service":"mirror","max_attempts":2,)"
+         R"("public":false,"sticky":true,"resumable":true,)"
+         R"("gap_target_ms":180}],"services":[{"name":"mirror",)"
+         R"("health_path":"/healthz","max_conns":272,"protocol":"h1",)"
+         R"("tls":false,"engine":{"slots":24,"kv_capacity_tokens":34219,)"
+         R"("kv_token_bytes":163840,"link_mbps":24000.0,"moves":true,)"
+         R"("backups":true,"stride":4,"most":12,"pin_ms":4000.0,)"
+         R"("hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],)"
+         R"("limits":{"header_bytes":16384,"body_bytes":4194304,)"
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
          R"("tenants":[{"name":"t1","api_keys":["key1"]}]})";
 }
 
-// Watches one process as the platform does.
-void Watch(review::Child& child, const std::atomic<bool>& stop, int& ends,
-           double& most) {
-  while (!stop) {
-    review::SleepFor(0.02);
-    const double used = child.MemoryMegabytes();
-    most = std::max(most, used);
-    const bool ended = child.HasEnded();
-    if (!ended && used <= kMemoryMegabytes) continue;
-    ++ends;
-    Note(child.name() +
-         (ended ? " ended by itself"
-                : " uses " + std::to_string(used) + " MB and is killed"));
-    child.Kill();
-    review::SleepFor(kRestartSeconds);
-    child.Start();
-  }
+review::Headers Fields(const std::string &id) {
+  return {{"Host", "a.example"},
+          {"Request-Id", id},
+          {"Deadline-Ms", "39000"},
+          {"Credential", "key1"},
+          {"Model", "m"},
+          {"Token-Counts", "400,400"},
+          {"Prefix-Hash", id + ":400"}};
 }
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int main(int argc, char **argv) {
   if (argc < 2) return 2;
   std::signal(SIGPIPE, SIG_IGN);
   review::OpenRecord(std::string(argv[1]) + "/record.txt");
@@ -76,56 +69,85 @@
   review::Deployment fleet(folder, review::ThreeMachines(folder));
   for (std::size_t i = 0; i < fleet.size(); ++i) fleet.Prepare(i, true);
   fleet.StartAll();
-  if (fleet.PutUntilAcknowledged(0, Document(1, 7), 15.0) < 0) {
+  if (fleet.PutUntilAcknowledged(0, Document(), 15.0) < 0) {
     review::Finish(fleet, 2);
   }
-  for (std::size_t i = 0; i < fleet.size(); ++i) fleet.Prepare(i, false);
-  std::atomic<bool> stop{false};
-  std::vector<int> ends(fleet.size() * 2, 0);
-  std::vector<double> most(fleet.size() * 2, 0);
-  std::vector<std::thread> watchers;
+  std::vector<std::string> control_ips;
+  std::vector<std::unique_ptr<review::Engine>> engines;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    control_ips.push_back(fleet.machine(i).ip);
+  }
   for (std::size_t i = 0; i < fleet.size(); ++i) {
-    watchers.emplace_back(
-        [&, i] { Watch(fleet.control(i), stop, ends[2 * i], most[2 * i]); });
-    watchers.emplace_back([&, i] {
-      Watch(fleet.entry(i), stop, ends[2 * i + 1], most[2 * i + 1]);
+    const std::string &ip = fleet.machine(i).ip;
+    engines.push_back(std::make_unique<review::Engine>(
+        "i-" + std::to_string(i + 1), "mirror", fleet.machine(i).zone, ip,
+        review::FreePort({ip}), 0.02));
+    engines.back()->SetStream(kEvents, kGapSeconds);
+    engines.back()->Report(control_ips, fleet.control_port());
+  }
+  constexpr std::size_t kStopped = 1;
+  review::SleepFor(5.0);
+  const double stop_at = review::Elapsed() + 1.5;
+  std::atomic<int> prepared{0};
+  std::atomic<int> complete{0};
+  std::atomic<int> unread{0};
+  std::mutex mutex;
+  std::set<std::string> cut;
+  std::vector<std::thread> consumers;
+  for (int i = 0; i < kConsumers; ++i) {
+    consumers.emplace_back([&, i] {
+      const std::string &ip = fleet.machine(kStopped).ip;
+      const int socket = review::Connect(ip, fleet.front_port(), 2.0);
+      const std::string name = "c" + std::to_string(i);
+      const review::Reply first = review::Exchange(
+          socket, "POST", "/x/1", Fields(name + "-1"), "read", 2.0);
+      if (first.status == 200 && first.Header("Connection") != "close") {
+        ++prepared;
+      }
+      const double send_at = stop_at + kFirstSend +
+                             (kLastSend - kFirstSend) * i / (kConsumers - 1);
+      review::SleepUntil(send_at);
+      const double sent = review::Elapsed();
+      const review::Reply reply = review::Exchange(
+          socket, "POST", "/talk/1", Fields(name + "-2"), "talk", 39.0);
+      Note("request " + name + "-2 sent " + std::to_string(sent - stop_at) +
+           " s after the signal, " +
+           (reply.status == 200 ? "complete stream"
+                                : "ended without a complete answer (" +
+                                      std::to_string(reply.status) + ")") +
+           " " + std::to_string(review::Elapsed() - stop_at) +
+           " s after the signal");
+      if (reply.status == 200) {
+        ++complete;
+      } else if (reply.status == 0 && sent - stop_at > kExcusedSeconds) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        cut.insert(name + "-2");
+      }
+      close(socket);
     });
   }
-  int routes = 7;
-  int version = 2;
-  int acknowledged = 0;
-  for (; review::Elapsed() < kEndSeconds; ++version) {
-    if (trouble && version == 2) routes += kBigConfigRoutes;
-    const std::string document = Document(version, routes);
-    if (version == 2) {
-      Note("version " + std::to_string(version) + " has " +
-           std::to_string(routes + 1) + " routes, " +
-           std::to_string(document.size()) + " bytes");
-    }
-    const double sent = review::Elapsed();
-    const int machine = fleet.PutUntilAcknowledged(
-        static_cast<std::size_t>(version), document, 10.0);
-    review::NoteQuietly("version " + std::to_string(version) +
-                        (machine < 0 ? " not acknowledged"
-                                     : " acknowledged by machine " +
-                                           std::to_string(machine + 1)));
-    acknowledged += machine < 0 ? 0 : 1;
-    review::SleepUntil(sent + kGapSeconds);
+  review::SleepUntil(stop_at);
+  if (prepared < kConsumers) review::Finish(fleet, 2);
+  if (trouble) {
+    fleet.entry(kStopped).Signal(SIGTERM);
+    Note("SIGTERM to the entry of machine 2");
+    review::SleepUntil(stop_at + kGraceSeconds);
+    const bool ended = fleet.entry(kStopped).HasEnded();
+    Note(ended ? "the entry has ended by itself within grace_s"
+               : "the entry is killed after grace_s");
+    fleet.entry(kStopped).Kill();
+    fleet.entry(kStopped).Start();
   }
-  stop = true;
-  for (std::thread& watcher : watchers) watcher.join();
-  int machines_with_fault = 0;
-  for (std::size_t i = 0; i < fleet.size(); ++i) {
-    const int on_machine = ends[2 * i] + ends[2 * i + 1];
-    if (on_machine >= kEndsForFault) ++machines_with_fault;
-    Note("machine " + std::to_string(i + 1) + ": ends " +
-         std::to_string(on_machine) + ", most memory control " +
-         std::to_string(most[2 * i]) + " MB, entry " +
-         std::to_string(most[2 * i + 1]) + " MB");
+  for (std::thread &consumer : consumers) consumer.join();
+  // Only what has been passed on to an engine counts.
+  int lost = 0;
+  for (const auto &engine : engines) {
+    for (const review::Run &run : engine->Runs()) {
+      lost += static_cast<int>(cut.count(run.id));
+    }
   }
-  Note("changes acknowledged: " + std::to_string(acknowledged));
-  if (acknowledged < 100) review::Finish(fleet, 2);
-  const bool held = 2 * machines_with_fault < static_cast<int>(fleet.size());
-  Note(held ? "the rule held" : "the rule was broken");
-  review::Finish(fleet, held ? 0 : 1);
+  Note("streams complete " + std::to_string(complete.load()) +
+       ", passed on to an engine and cut " + std::to_string(lost));
+  Note(lost == 0 ? "the rule held" : "the rule was broken");
+  review::Finish(fleet, lost == 0 ? 0 : 1);
 }
--- a/review/common/engine.cc
+++ b/review/common/engine.cc
@@ -1,6 +1,7 @@
 #include "engine.h"
 
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 namespace review {
@@ -35,6 +36,35 @@
   server_.reset();
 }
 
+void Engine::SetStream(int events, double gap_s) {
+  stream_events_ = events;
+  stream_gap_s_ = gap_s;
+}
+
+bool Engine::WriteStream(int socket, const std::string& id) {
+  std::string bytes =
+      "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+      "\r\nResponse-Signature: " + id_ + "." + id +
+      "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n";
+  for (int i = 1; i <= stream_events_; ++i) {
+    const std::string event = "id: " + std::to_string(i) +
+                              "\ndata: " + std::string(280, 'e') + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+    bytes += size + event + "\r\n";
+    if (!WriteAll(socket, bytes)) {
+      NoteQuietly("run " + id + " at " + id_ + " cut by its caller after " +
+                  std::to_string(i - 1) + " events");
+      return false;
+    }
+    bytes.clear();
+    SleepFor(stream_gap_s_);
+  }
+  NoteQuietly("run " + id + " at " + id_ + " ended after its last event");
+  return WriteAll(socket, "0\r\n\r\n");
+}
+
 bool Engine::OnRequest(int socket, const Message& request) {
   const bool is_health = request.start.rfind("GET /healthz", 0) == 0;
   const std::string id = request.Header("Request-Id");
@@ -56,6 +86,9 @@
       runs_.push_back({id_, id, Elapsed()});
     }
     NoteQuietly("run " + id + " at " + id_);
+    if (request.start.rfind("POST /talk/", 0) == 0) {
+      return WriteStream(socket, id);
+    }
     SleepFor(work_s_);
     body = "{\"ran\":\"" + id + "\"}" + std::string(780, ' ');
     fields = "Request-Id: " + id + "\r\nResponse-Signature: " + id_ + "." + id +
--- a/review/common/engine.h
+++ b/review/common/engine.h
@@ -29,6 +29,8 @@
   Engine(const Engine&) = delete;
   Engine& operator=(const Engine&) = delete;
 
+  // Answers requests below /talk/ with a stream of so many events.
+  void SetStream(int events, double gap_s);
   // Starts to send heartbeats to the control processes in turn.
   void Report(std::vector<std::string> control_ips, int control_port);
   // Stops the heartbeats; the last one that was written is kept as `unsent`.
@@ -49,12 +51,15 @@
 
  private:
   bool OnRequest(int socket, const Message& request);
+  bool WriteStream(int socket, const std::string& id);
 
   std::string id_;
   std::string service_;
   std::string zone_;
   std::string address_;
   double work_s_;
+  int stream_events_ = 0;
+  double stream_gap_s_ = 0;
   std::uint64_t born_;
   std::atomic<std::uint64_t> sequence_{0};
   std::vector<std::string> control_ips_;
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -20,6 +20,7 @@
 #include <fstream>
 #include <memory>
 #include <sstream>
+#include <system_error>
 #include <utility>
 
 namespace review {
@@ -492,6 +493,10 @@
 
 void Finish(Deployment& deployment, int exit_code) {
   deployment.KillAll();
+  std::error_code ignored;
+  if (Environment("KEEP", "").empty()) {
+    std::filesystem::remove_all(deployment.folder(), ignored);
+  }
   Note("exit " + std::to_string(exit_code));
   // Threads of stand-ins may still wait for their connections.
   std::_Exit(exit_code);
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -150,6 +150,7 @@
   int front_port() const { return front_port_; }
   int ready_port() const { return ready_port_; }
   int control_port() const { return control_port_; }
+  const std::string& folder() const { return folder_; }
   void SignalMachine(std::size_t machine, int signal);
   void KillAll();
 
@@ -176,7 +177,8 @@
 // Returns three machines in three zones on loopback addresses of their own.
 std::vector<Machine> ThreeMachines(const std::string& folder);
 
-// Ends with the exit code after all children have been ended.
+// Ends with the exit code after all children have been ended. Removes the
+// folder of the deployment unless the environment variable KEEP is set.
 [[noreturn]] void Finish(Deployment& deployment, int exit_code);
 
 }  // namespace review
