fleet: Compare removed servers in anti-entropy

Cause: a removed record added nothing to the directory's digest, so that its expiry would leave the digest unchanged. A process without the record had equal digests, requested no sync, and reported itself as current.

Change: removed records have a digest of their own, which digests, reports and entry updates carry in a new field; older processes skip it and are compared as before. A sync request names it, and the reply includes the removed records if it differs. Records carry their age, so that all processes delete them at the same time and none returns an expired one to another.

--- a/include/coltsfootfork/core/fleet/fleet_message.h
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -43,7 +43,7 @@
   std::string leader;
   // All control processes known from recent digests; omitted from most digests.
   std::vector<std::string> peers;
-  std::uint64_t directory_digest = 0;
+  DirectoryDigest directory_digest;
   // The newest committed routing plan of the process.
   std::uint64_t plan_version = 0;
   // See Hello.
@@ -66,9 +66,12 @@
   std::uint64_t token = 0;
 };
 // Requests the records of the directory buckets whose digests differ from the
-// receiver's. An empty list requests all records.
+// receiver's, and the removed records if their digest does. An empty list
+// requests all records.
 struct DirectorySyncRequest {
   std::vector<std::uint64_t> bucket_digests;
+  // See DirectoryDigest.
+  std::optional<std::uint64_t> removed_digest;
 };
 
 // Requests the routing plan.
@@ -102,7 +105,7 @@
   // are counted once.
   bool is_primary = false;
   std::uint64_t plan_version = 0;
-  std::uint64_t directory_digest = 0;
+  DirectoryDigest directory_digest;
   std::vector<LoadEntry> load;
   std::vector<DemandEntry> demand;
   // What has changed in the sender's crash ledger since the last report on this
@@ -116,7 +119,7 @@
   // The process has been in contact with a quorum of the voters recently.
   bool is_current = false;
   std::uint64_t plan_version = 0;
-  std::uint64_t directory_digest = 0;
+  DirectoryDigest directory_digest;
   // Number of the entry's newest report that the last published usage includes;
   // zero for none.
   std::uint64_t included_report = 0;
--- a/src/core/control_state/field_archive.h
+++ b/src/core/control_state/field_archive.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -43,6 +44,10 @@
   return id.value();
 }
 template <typename T>
+nlohmann::json WriteField(std::optional<T>& value) {
+  return value ? WriteField(*value) : nlohmann::json();
+}
+template <typename T>
 nlohmann::json WriteField(std::vector<T>& list) {
   auto json = nlohmann::json::array();
   for (T& element : list) json.push_back(WriteField(element));
@@ -78,6 +83,11 @@
   return true;
 }
 template <typename T>
+bool ReadField(const nlohmann::json& json, std::optional<T>& value) {
+  value.reset();
+  return json.is_null() || ReadField(json, value.emplace());
+}
+template <typename T>
 bool ReadField(const nlohmann::json& json, std::vector<T>& list) {
   if (!json.is_array()) return false;
   list.clear();
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -22,6 +22,7 @@
   archive("slots", m.slots);
   archive("state", m.state);
   archive("cold_left", m.warmup_remaining);
+  archive("removed_for", m.removed_for);
 }
 
 template <typename A>
@@ -55,7 +56,8 @@
   archive("voters", m.voters);
   archive("leader", m.leader);
   archive("peers", m.peers);
-  archive("directory", m.directory_digest);
+  archive("directory", m.directory_digest.servers);
+  archive("removed", m.directory_digest.removed);
   archive("plan", m.plan_version);
   archive("parts", m.accepts_parts);
   archive("crashes", m.crashes);
@@ -80,6 +82,7 @@
 template <typename A>
 void Fields(A& archive, DirectorySyncRequest& m) {
   archive("parts", m.bucket_digests);
+  archive("removed", m.removed_digest);
 }
 
 template <typename A>
@@ -110,7 +113,8 @@
   archive("number", m.number);
   archive("is_primary", m.is_primary);
   archive("plan", m.plan_version);
-  archive("directory", m.directory_digest);
+  archive("directory", m.directory_digest.servers);
+  archive("removed", m.directory_digest.removed);
   archive("load", m.load);
   archive("demand", m.demand);
   archive("crashes", m.crashes);
@@ -120,7 +124,8 @@
 void Fields(A& archive, EntryUpdate& m) {
   archive("is_current", m.is_current);
   archive("plan", m.plan_version);
-  archive("directory", m.directory_digest);
+  archive("directory", m.directory_digest.servers);
+  archive("removed", m.directory_digest.removed);
   archive("report", m.included_report);
   archive("crashes", m.crashes);
 }
--- a/src/core/fleet/server_directory.cc
+++ b/src/core/fleet/server_directory.cc
@@ -13,10 +13,8 @@
 // than a server can be partitioned from the control processes and still serve.
 constexpr Duration kHeartbeatTimeout = std::chrono::minutes(10);
 
-// The record's contribution to the digest. A removed record contributes zero,
-// so that deleting it leaves the digest unchanged.
+// The contribution of a record that is not removed to the digest.
 std::uint64_t HashOf(const ServerRecord& record) {
-  if (record.state == ServerState::kRemoved) return 0;
   std::string text = record.id.value();
   text += '\n';
   text += std::to_string(record.incarnation);
@@ -28,6 +26,14 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
+// The contribution of a removed record. The address and the service are left
+// out, since a server that was unknown when it deregistered has none.
+std::uint64_t RemovedHashOf(const ServerRecord& record) {
+  const std::string text =
+      record.id.value() + '\n' + std::to_string(record.incarnation);
+  return XXH64(text.data(), text.size(), 0);
+}
+
 bool DiffersBeyondHeartbeat(const ServerRecord& before,
                             const ServerRecord& after) {
   return before.incarnation != after.incarnation ||
@@ -39,11 +45,14 @@
 
 bool ServerDirectory::Merge(const ServerRecord& record, Time now) {
   const auto found = entries_.find(record.id);
+  const Time changed_at = now - record.removed_for;
   if (found == entries_.end()) {
+    // Two processes would otherwise return an expired record to each other.
+    if (now >= changed_at + kRemovedRetention) return false;
     ServerRecord new_record = record;
     if (IsSuperseded(record)) new_record.state = ServerState::kRemoved;
     SupersedeAddress(new_record, now);
-    Store(new_record, now);
+    Store(new_record, changed_at, now);
     return true;
   }
   const ServerRecord& known = found->second.record;
@@ -64,10 +73,17 @@
     const bool is_later = merged.sequence > known.sequence;
     found->second.record = merged;
     if (is_later) found->second.last_heartbeat = now;
+    // A process that has restarted knows only when it read the record.
+    if (record.state == ServerState::kRemoved &&
+        changed_at < found->second.changed_at) {
+      removed_.erase({found->second.changed_at, record.id});
+      found->second.changed_at = changed_at;
+      removed_.insert({changed_at, record.id});
+    }
     return false;
   }
   SupersedeAddress(merged, now);
-  Store(merged, now);
+  Store(merged, merged.state == record.state ? changed_at : now, now);
   return true;
 }
 
@@ -102,69 +118,122 @@
       !DiffersBeyondHeartbeat(found->second.record, record)) {
     return false;
   }
-  Store(record, now);
+  Store(record, now, now);
   return true;
 }
 
 void ServerDirectory::Expire(Time now) {
-  for (auto entry = entries_.begin(); entry != entries_.end();) {
-    ServerRecord& record = entry->second.record;
-    const bool removed = record.state == ServerState::kRemoved;
-    if (removed && now >= entry->second.changed_at + kRemovedRetention) {
-      const auto at_address = ids_by_address_.find(record.address);
-      at_address->second.erase(entry->first);
-      if (at_address->second.empty()) ids_by_address_.erase(at_address);
-      entry = entries_.erase(entry);
+  while (!removed_.empty() &&
+         (removed_.size() > kMaxRemoved ||
+          now >= removed_.begin()->first + kRemovedRetention)) {
+    Forget(ServerId(removed_.begin()->second));
+  }
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.state == ServerState::kRemoved ||
+        now < entry.last_heartbeat + kHeartbeatTimeout) {
       continue;
     }
-    if (!removed && now >= entry->second.last_heartbeat + kHeartbeatTimeout) {
-      ServerRecord removed_record = record;
-      removed_record.state = ServerState::kRemoved;
-      Store(removed_record, now);
-    }
-    ++entry;
+    ServerRecord removed_record = entry.record;
+    removed_record.state = ServerState::kRemoved;
+    Store(removed_record, now, now);
   }
 }
 
+void ServerDirectory::Forget(const ServerId& id) {
+  const auto found = entries_.find(id);
+  const Entry& entry = found->second;
+  ToggleDigest(entry.record);
+  removed_.erase({entry.changed_at, id});
+  const auto at_address = ids_by_address_.find(entry.record.address);
+  at_address->second.erase(id);
+  if (at_address->second.empty()) ids_by_address_.erase(at_address);
+  entries_.erase(found);
+}
+
 const ServerDirectory::Entry* ServerDirectory::Find(const ServerId& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? nullptr : &found->second;
 }
 
-std::vector<ServerRecord> ServerDirectory::Records() const {
-  std::vector<ServerRecord> records;
-  records.reserve(entries_.size());
-  for (const auto& [id, entry] : entries_) records.push_back(entry.record);
-  return records;
+ServerRecord ServerDirectory::ToRecord(const Entry& entry, Time now) {
+  ServerRecord record = entry.record;
+  record.removed_for =
+      std::chrono::milliseconds(record.state == ServerState::kRemoved
+                                    ? ToMilliseconds(now - entry.changed_at)
+                                    : 0);
+  return record;
 }
 
-std::vector<ServerRecord> ServerDirectory::DifferingRecords(
-    const std::vector<std::uint64_t>& bucket_digests) const {
-  if (bucket_digests.size() != kBuckets) return Records();
+template <typename Predicate>
+std::vector<ServerRecord> ServerDirectory::RecordsIf(Predicate predicate,
+                                                     Time now) const {
   std::vector<ServerRecord> records;
   for (const auto& [id, entry] : entries_) {
-    const std::size_t bucket = BucketOf(id);
-    if (bucket_digests[bucket] != bucket_digests_.at(bucket)) {
-      records.push_back(entry.record);
-    }
+    if (predicate(entry.record)) records.push_back(ToRecord(entry, now));
   }
   return records;
 }
 
+std::vector<ServerRecord> ServerDirectory::Records(Time now) const {
+  return RecordsIf([](const ServerRecord& /*record*/) { return true; }, now);
+}
+
+std::vector<ServerRecord> ServerDirectory::Departures(Time now) const {
+  return RecordsIf(
+      [](const ServerRecord& record) {
+        return record.state != ServerState::kReady;
+      },
+      now);
+}
+
+std::vector<ServerRecord> ServerDirectory::RemovedRecords(Time now) const {
+  return RecordsIf(
+      [](const ServerRecord& record) {
+        return record.state == ServerState::kRemoved;
+      },
+      now);
+}
+
+std::vector<ServerRecord> ServerDirectory::DifferingRecords(
+    const std::vector<std::uint64_t>& bucket_digests,
+    std::optional<std::uint64_t> removed_digest, Time now) const {
+  if (bucket_digests.size() != kBuckets) return Records(now);
+  const bool removed_differ =
+      removed_digest && *removed_digest != removed_digest_;
+  return RecordsIf(
+      [&](const ServerRecord& record) {
+        const std::size_t bucket = BucketOf(record.id);
+        return bucket_digests[bucket] != bucket_digests_.at(bucket) ||
+               (removed_differ && record.state == ServerState::kRemoved);
+      },
+      now);
+}
+
+bool ServerDirectory::Matches(const DirectoryDigest& other) const {
+  return other.servers == digest_ &&
+         (!other.removed || *other.removed == removed_digest_);
+}
+
 std::size_t ServerDirectory::BucketOf(const ServerId& id) {
   return XXH64(id.value().data(), id.value().size(), 0) % kBuckets;
 }
 
 void ServerDirectory::ToggleDigest(const ServerRecord& record) {
+  if (record.state == ServerState::kRemoved) {
+    removed_digest_ ^= RemovedHashOf(record);
+    return;
+  }
   const std::uint64_t hash = HashOf(record);
   digest_ ^= hash;
   bucket_digests_.at(BucketOf(record.id)) ^= hash;
 }
 
-void ServerDirectory::Store(const ServerRecord& record, Time now) {
+void ServerDirectory::Store(const ServerRecord& record, Time changed_at,
+                            Time now) {
   const auto found = entries_.find(record.id);
   if (found != entries_.end()) {
     ToggleDigest(found->second.record);
+    removed_.erase({found->second.changed_at, record.id});
     const std::string& previous_address = found->second.record.address;
     const auto at_address = ids_by_address_.find(previous_address);
     if (previous_address != record.address &&
@@ -173,7 +242,10 @@
       if (at_address->second.empty()) ids_by_address_.erase(at_address);
     }
   }
-  entries_[record.id] = {record, now, now};
+  entries_[record.id] = {record, changed_at, now};
+  if (record.state == ServerState::kRemoved) {
+    removed_.insert({changed_at, record.id});
+  }
   ids_by_address_[record.address].insert(record.id);
   ToggleDigest(record);
 }
@@ -202,7 +274,7 @@
     if (!older) continue;
     ServerRecord removed_record = other;
     removed_record.state = ServerState::kRemoved;
-    Store(removed_record, now);
+    Store(removed_record, now, now);
   }
 }
 
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -173,8 +173,7 @@
       }
     } else if (const auto* request =
                    std::get_if<DirectorySyncRequest>(&*message)) {
-      Send(*incoming.link, DirectoryUpdate{0, directory_.DifferingRecords(
-                                                  request->bucket_digests)});
+      Send(*incoming.link, MissingRecords(*request, now));
     }
     return;
   }
@@ -201,6 +200,9 @@
     peers_[peer].sent_crash_revision = 0;
     SendTo(peer,
            Hello{options_.self, /*is_entry=*/false, /*accepts_parts=*/true});
+    // The peer may have restarted and not know how old its records are.
+    SendTo(peer,
+           DirectoryUpdate{0, directory_.RemovedRecords(MonotonicNow())});
   };
   // A peer sends its messages on the link that it opened itself.
   events.on_frame = [](const std::string& /*frame*/) {};
@@ -237,10 +239,10 @@
   Peer& peer = peers_[from];
   if (peer.link && digest.accepts_parts) peer.link->AllowParts();
   if (!replica_ || !replica_->is_running()) quorum_.SetVoters(digest.voters);
-  const bool differs = digest.directory_digest != directory_.digest();
+  const bool differs = !directory_.Matches(digest.directory_digest);
   if (!differs) quorum_.OnInSync(from, now);
   if (peer.anti_entropy.ShouldRequestSync(differs, now)) {
-    SendTo(from, DirectorySyncRequest{directory_.BucketDigests()});
+    SendTo(from, SyncRequest());
   }
   if (digest.plan_version > plan_.version) RequestPlan(from, now);
   crashes_.Merge(digest.crashes, now);
@@ -317,7 +319,7 @@
   std::optional<EncodedMessage> refresh;
   if (now >= next_directory_refresh_) {
     next_directory_refresh_ = now + kDirectoryRefreshInterval;
-    refresh.emplace(DirectoryUpdate{0, directory_.Records()});
+    refresh.emplace(DirectoryUpdate{0, directory_.Records(now)});
   }
   for (auto& [name, peer] : peers_) {
     Connect(name, now);
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -176,6 +176,10 @@
   // ones.
   void QueueForEntries(const std::vector<ServerRecord>& records);
   void FlushEntryQueue();
+  DirectorySyncRequest SyncRequest() const;
+  // Returns what the sender of the request lacks.
+  DirectoryUpdate MissingRecords(const DirectorySyncRequest& request,
+                                 Time now) const;
   void InstallPlan(const PlanDocument& document);
   void SendPlanIfOutdated(Entry& entry, Time now);
   void RequestPlan(const std::string& peer, Time now);
--- a/src/shell/fleet/control_node_directory.cc
+++ b/src/shell/fleet/control_node_directory.cc
@@ -140,9 +140,18 @@
 }
 
 void ControlNode::On(const std::string& from,
-                     const DirectorySyncRequest& request, Time /*now*/) {
-  SendTo(from, DirectoryUpdate{
-                   0, directory_.DifferingRecords(request.bucket_digests)});
+                     const DirectorySyncRequest& request, Time now) {
+  SendTo(from, MissingRecords(request, now));
+}
+
+DirectorySyncRequest ControlNode::SyncRequest() const {
+  return {directory_.BucketDigests(), directory_.digest().removed};
+}
+
+DirectoryUpdate ControlNode::MissingRecords(const DirectorySyncRequest& request,
+                                            Time now) const {
+  return {0, directory_.DifferingRecords(request.bucket_digests,
+                                         request.removed_digest, now)};
 }
 
 void ControlNode::ExpirePendingAcks(Time now) {
--- a/src/shell/fleet/control_node_entries.cc
+++ b/src/shell/fleet/control_node_entries.cc
@@ -27,11 +27,11 @@
   entry.usage.demand = ToFleetDemand(report.demand);
   entry.plan_version = report.plan_version;
   crashes_.Merge(report.crashes, now);
-  const bool differs = report.directory_digest != directory_.digest();
+  const bool differs = !directory_.Matches(report.directory_digest);
   if (now >= next_entry_sync_ &&
       entry.anti_entropy.ShouldRequestSync(differs, now)) {
     next_entry_sync_ = now + kEntrySyncInterval;
-    Send(*entry.link, DirectorySyncRequest{directory_.BucketDigests()});
+    Send(*entry.link, SyncRequest());
   }
   SendPlanIfOutdated(entry, now);
 }
--- a/src/shell/fleet/control_subscriber.cc
+++ b/src/shell/fleet/control_subscriber.cc
@@ -140,7 +140,7 @@
     subscribed.sent_crash_revision = 0;
     Send(subscribed,
          Hello{options_.name, /*is_entry=*/true, /*accepts_parts=*/true});
-    Send(subscribed, DirectorySyncRequest{directory_.BucketDigests()});
+    RequestSync(subscribed);
     Report(index);
   };
   events.on_frame = [this, index, attempt](const std::string& frame) {
@@ -202,8 +202,9 @@
   }
   if (const auto* request = std::get_if<DirectorySyncRequest>(&*message)) {
     return Send(subscriptions_[index],
-                DirectoryUpdate{
-                    0, directory_.DifferingRecords(request->bucket_digests)});
+                DirectoryUpdate{0, directory_.DifferingRecords(
+                                       request->bucket_digests,
+                                       request->removed_digest, now)});
   }
   const auto* plan = std::get_if<PlanDocument>(&*message);
   if (plan == nullptr || plan->version <= plan_version_) return;
@@ -222,15 +223,12 @@
   if (!update.crashes.empty() && events_.on_crashes) {
     events_.on_crashes(update.crashes);
   }
-  const bool differs = update.directory_digest != directory_.digest();
+  const bool differs = !directory_.Matches(update.directory_digest);
   if (subscription.anti_entropy.ShouldRequestSync(differs, now)) {
-    Send(subscription, DirectorySyncRequest{directory_.BucketDigests()});
+    RequestSync(subscription);
   }
   if (!update.is_current) return;
-  if (update.plan_version == plan_version_ &&
-      update.directory_digest == directory_.digest()) {
-    synced_ = true;
-  }
+  if (update.plan_version == plan_version_ && !differs) synced_ = true;
   if (index == PrimaryIndex()) {
     NotifyUsage(subscription, update.included_report);
   }
@@ -269,6 +267,11 @@
   subscription.link->Send(encoded.bytes, encoded.priority);
 }
 
+void ControlSubscriber::RequestSync(Subscription& subscription) {
+  Send(subscription, DirectorySyncRequest{directory_.BucketDigests(),
+                                          directory_.digest().removed});
+}
+
 void ControlSubscriber::OnDirectoryUpdate(
     const DirectoryUpdate& directory_update, Time now) {
   bool changed = false;
--- a/src/shell/fleet/control_subscriber.h
+++ b/src/shell/fleet/control_subscriber.h
@@ -116,6 +116,7 @@
   // Replaces at most one control process by a better one.
   void SwitchToBetter(Time now);
   void Send(Subscription& subscription, const FleetMessage& message);
+  void RequestSync(Subscription& subscription);
   void OnDirectoryUpdate(const DirectoryUpdate& directory_update, Time now);
   void Report(std::size_t index);
   // Returns what has changed in the entry's crash ledger since it was last sent
