fleet: Store departures before they are acknowledged

Cause: draining and removed servers were known in memory only, and a majority of the voters acknowledged them from there. After a restart of all nobody knew them, and any heartbeat of an unknown server was new.

The same class, an acknowledgement of what need not be known elsewhere: a departure was acknowledged at once while the voters were unknown, and so was a deregistration that names no incarnation for an unknown server, whose record outranks no heartbeat. Both get 503 now.

Change: a control process with a disk appends departures to a file of its data folder, and acknowledges them to its peers once they are synced. Peers and entries get them before the write. A restarted process reads it before it listens. Why this works: any majority that a process must be in sync with to be current includes one that has read the departure from its disk.

--- a/include/coltsfootfork/core/fleet/fleet_message.h
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -57,7 +57,7 @@
 };
 
 // Records that are new to the sender. A nonzero token requests an
-// acknowledgement.
+// acknowledgement once the records are on the receiver's disk.
 struct DirectoryUpdate {
   std::uint64_t token = 0;
   std::vector<ServerRecord> records;
--- a/include/coltsfootfork/core/fleet/quorum_tracker.h
+++ b/include/coltsfootfork/core/fleet/quorum_tracker.h
@@ -31,6 +31,9 @@
   bool IsCurrent(Time now) const;
   // Returns true if `peers` and this process include a majority of the voters.
   bool IsMajority(const std::set<std::string>& peers) const;
+  // Returns true if the processes include a majority of the voters. False while
+  // the voters are unknown.
+  bool IncludesMajority(const std::set<std::string>& processes) const;
 
  private:
   std::string self_;
--- a/src/core/fleet/quorum_tracker.cc
+++ b/src/core/fleet/quorum_tracker.cc
@@ -20,10 +20,15 @@
 }
 
 bool QuorumTracker::IsMajority(const std::set<std::string>& peers) const {
+  std::set<std::string> processes = peers;
+  processes.insert(self_);
+  return IncludesMajority(processes);
+}
+
+bool QuorumTracker::IncludesMajority(
+    const std::set<std::string>& processes) const {
   std::size_t count = 0;
-  for (const std::string& voter : voters_) {
-    if (voter == self_ || peers.count(voter) != 0) ++count;
-  }
+  for (const std::string& voter : voters_) count += processes.count(voter);
   return 2 * count > voters_.size();
 }
 
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -48,7 +48,8 @@
           [this] { InstallPlan(plan_state_machine_.document()); }),
       bootstrap_(options_.self, options_.seeds, now),
       quorum_(options_.self),
-      entry_queue_timer_(io) {
+      entry_queue_timer_(io),
+      departure_timer_(io) {
   if (!options_.data_folder.empty()) {
     replica_ = std::make_unique<ReplicaHost>(
         ReplicaHostOptions{options_.self, options_.zone, options_.data_folder,
@@ -59,6 +60,7 @@
           SendTo(to, ReplicaPayload{std::move(bytes)});
         },
         now);
+    RecoverDepartures(now);
   }
   AddSeeds(options_.seeds);
   Accept();
@@ -89,6 +91,8 @@
       {"control_entries", OwnEntriesUse().entries},
       {"control_servers", directory_.entries().size()},
       {"control_plan_version", plan_.version},
+      {"control_departure_log_bytes",
+       departure_log_ ? departure_log_->bytes() : 0},
       {"control_waiting_changes", pending_relays_.size()},
       {"control_waiting_leavings", pending_quorum_acks_.size()},
       {"control_heartbeats_total", counts_.heartbeats},
@@ -201,8 +205,7 @@
     SendTo(peer,
            Hello{options_.self, /*is_entry=*/false, /*accepts_parts=*/true});
     // The peer may have restarted and not know how old its records are.
-    SendTo(peer,
-           DirectoryUpdate{0, directory_.RemovedRecords(MonotonicNow())});
+    SendTo(peer, DirectoryUpdate{0, directory_.RemovedRecords(MonotonicNow())});
   };
   // A peer sends its messages on the link that it opened itself.
   events.on_frame = [](const std::string& /*frame*/) {};
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -21,6 +21,7 @@
 #include "coltsfootfork/core/fleet/quorum_tracker.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/usage_feed.h"
+#include "shell/fleet/departure_log.h"
 #include "shell/fleet/fleet_traffic.h"
 #include "shell/fleet/frame_link.h"
 #include "shell/fleet/replica_host.h"
@@ -54,8 +55,9 @@
 // its peers, holds a replica of the routing plan if it has a disk, and sends
 // both to its subscribed entries.
 //
-// The directory is soft state. Draining or deregistration of a server is
-// acknowledged once a majority of the voters has the update. A process that has
+// The directory is kept in memory, except that draining and removed servers are
+// also stored in a DepartureLog. Draining or deregistration of a server is
+// acknowledged once a majority of the voters has it on disk. A process that has
 // not exchanged digests with a majority recently reports itself as not current,
 // and its entries subscribe to another process. The plan is replicated by Raft:
 // any process accepts changes and reads and forwards them to the leader.
@@ -80,8 +82,9 @@
   using GetPlanCallback = std::function<void(std::optional<PlanDocument> plan)>;
   void GetPlan(GetPlanCallback done);
   // For a drain or deregistration, `acknowledged` is true once a majority of
-  // the voters has the update, and false after a timeout. Other heartbeats are
-  // acknowledged at once.
+  // the voters has it on disk, and false after a timeout. Other heartbeats are
+  // acknowledged at once. `incarnation` zero deregisters the currently known
+  // incarnation; it is not acknowledged for an unknown server.
   using AckCallback = std::function<void(bool acknowledged)>;
   void OnHeartbeat(const ServerRecord& record, AckCallback done);
   void OnDeregister(const ServerId& id, std::uint64_t incarnation,
@@ -125,9 +128,10 @@
     // When the entry's plan became older than the plan of this process.
     std::optional<Time> outdated_since;
   };
-  // A drain or deregistration that waits for acknowledgement by a majority of
-  // the voters.
+  // A drain or deregistration that waits until a majority of the voters has it
+  // on disk.
   struct PendingQuorumAck {
+    // The processes that have it on disk.
     std::set<std::string> acknowledged;
     AckCallback done;
     Time deadline;
@@ -165,6 +169,7 @@
   void On(const std::string& /*from*/, const Other& /*message*/, Time /*now*/) {
   }
   void OnEntryReport(Entry& entry, const EntryReport& report, Time now);
+  void OnDeparturesSynced(const std::string& process, std::uint64_t token);
 
   void BroadcastRecords(const std::vector<ServerRecord>& records,
                         AckCallback done, Time now);
@@ -180,6 +185,15 @@
   // Returns what the sender of the request lacks.
   DirectoryUpdate MissingRecords(const DirectorySyncRequest& request,
                                  Time now) const;
+  // Reads the departures that are on disk into the directory.
+  void RecoverDepartures(Time now);
+  // Writes the departures among the servers of the records to the disk soon,
+  // and then calls `done`, unless it is null. After a failed write, and without
+  // a disk, `done` is never called.
+  void SyncDepartures(const std::vector<ServerRecord>& records,
+                      std::function<void()> done, Time now);
+  void ScheduleDepartureWrite(Time now);
+  void WriteDepartures(Time now);
   void InstallPlan(const PlanDocument& document);
   void SendPlanIfOutdated(Entry& entry, Time now);
   void RequestPlan(const std::string& peer, Time now);
@@ -250,6 +264,14 @@
   UsagePublisher entry_usage_;
   std::vector<ServerRecord> entry_queue_;
   boost::asio::steady_timer entry_queue_timer_;
+  // Set if the process has a data folder.
+  std::optional<DepartureLog> departure_log_;
+  // Departures that the next write stores, and what waits for that write.
+  std::vector<ServerRecord> unsynced_departures_;
+  std::vector<std::function<void()>> departure_waiters_;
+  bool departure_write_scheduled_ = false;
+  Time next_departure_write_;
+  boost::asio::steady_timer departure_timer_;
   FleetTraffic traffic_;
   std::map<std::uint64_t, PendingQuorumAck> pending_quorum_acks_;
   std::map<std::uint64_t, PendingRelay> pending_relays_;
--- a/src/shell/fleet/control_node_directory.cc
+++ b/src/shell/fleet/control_node_directory.cc
@@ -49,6 +49,9 @@
 void ControlNode::OnDeregister(const ServerId& id, std::uint64_t incarnation,
                                AckCallback done) {
   const Time now = MonotonicNow();
+  // A record without an incarnation would not prevent a delayed heartbeat from
+  // restoring the server.
+  if (incarnation == 0 && directory_.Find(id) == nullptr) return done(false);
   const bool changed = directory_.MarkRemoved(id, incarnation, now);
   const ServerRecord record = directory_.Find(id)->record;
   if (changed) {
@@ -68,20 +71,20 @@
                                    AckCallback done, Time now) {
   DirectoryUpdate update;
   update.records = records;
+  const std::uint64_t token = done ? next_id_++ : 0;
+  update.token = token;
   if (done) {
-    // Without voters no process is current, so no entry relies on the update.
-    if (!quorum_.has_voters() || quorum_.IsMajority({})) {
-      done(true);
-    } else {
-      update.token = next_id_++;
-      pending_quorum_acks_[update.token] = {
-          {}, std::move(done), now + kQuorumAckTimeout};
-    }
+    pending_quorum_acks_[token] = {
+        {}, std::move(done), now + kQuorumAckTimeout};
   }
   const EncodedMessage message(std::move(update));
   for (auto& [name, peer] : peers_) {
     if (peer.link) Send(*peer.link, message);
   }
+  if (token == 0) return;
+  SyncDepartures(
+      records, [this, token] { OnDeparturesSynced(options_.self, token); },
+      now);
 }
 
 void ControlNode::QueueForEntries(const std::vector<ServerRecord>& records) {
@@ -114,7 +117,11 @@
 void ControlNode::On(const std::string& from, const DirectoryUpdate& update,
                      Time now) {
   MergeUpdate(update, now);
-  if (update.token != 0) SendTo(from, DirectoryAck{update.token});
+  if (update.token == 0) return;
+  SyncDepartures(
+      update.records,
+      [this, from, token = update.token] { SendTo(from, DirectoryAck{token}); },
+      now);
 }
 
 std::vector<ServerRecord> ControlNode::MergeUpdate(
@@ -124,16 +131,24 @@
     if (!directory_.Merge(record, now)) continue;
     changed_records.push_back(directory_.Find(record.id)->record);
   }
-  if (!changed_records.empty()) QueueForEntries(changed_records);
+  if (!changed_records.empty()) {
+    QueueForEntries(changed_records);
+    SyncDepartures(changed_records, nullptr, now);
+  }
   return changed_records;
 }
 
 void ControlNode::On(const std::string& from, const DirectoryAck& ack,
                      Time /*now*/) {
-  const auto waiting = pending_quorum_acks_.find(ack.token);
+  OnDeparturesSynced(from, ack.token);
+}
+
+void ControlNode::OnDeparturesSynced(const std::string& process,
+                                     std::uint64_t token) {
+  const auto waiting = pending_quorum_acks_.find(token);
   if (waiting == pending_quorum_acks_.end()) return;
-  waiting->second.acknowledged.insert(from);
-  if (!quorum_.IsMajority(waiting->second.acknowledged)) return;
+  waiting->second.acknowledged.insert(process);
+  if (!quorum_.IncludesMajority(waiting->second.acknowledged)) return;
   const AckCallback done = std::move(waiting->second.done);
   pending_quorum_acks_.erase(waiting);
   done(true);
@@ -155,17 +170,22 @@
 }
 
 void ControlNode::ExpirePendingAcks(Time now) {
+  std::vector<AckCallback> acknowledged;
   std::vector<AckCallback> expired;
   for (auto waiting = pending_quorum_acks_.begin();
        waiting != pending_quorum_acks_.end();) {
-    if (now < waiting->second.deadline) {
+    PendingQuorumAck& pending = waiting->second;
+    // The voters may have become known or changed since the last ack.
+    const bool has_majority = quorum_.IncludesMajority(pending.acknowledged);
+    if (!has_majority && now < pending.deadline) {
       ++waiting;
       continue;
     }
-    expired.push_back(std::move(waiting->second.done));
+    (has_majority ? acknowledged : expired).push_back(std::move(pending.done));
     waiting = pending_quorum_acks_.erase(waiting);
   }
   counts_.unacknowledged_drains += expired.size();
+  for (const AckCallback& done : acknowledged) done(true);
   for (const AckCallback& done : expired) done(false);
 }
 
--- a/src/shell/fleet/replica_host.h
+++ b/src/shell/fleet/replica_host.h
@@ -60,6 +60,9 @@
   // Empty while no leader is known.
   std::string leader() const;
   std::vector<std::string> voters() const;
+  // Returns a function that decides which steps on the disk fail, or nullptr if
+  // none should. Valid while this object exists.
+  std::function<int(StorageStep)> MakeDiskFaultInjector();
 
  private:
   void Open(Time now);
@@ -72,10 +75,6 @@
   void Execute(const CommandCompleted& effect);
   void Execute(const LogEvent& effect);
 
-  // Returns a function that decides which steps on the disk fail, or nullptr if
-  // none should.
-  std::function<int(StorageStep)> MakeDiskFaultInjector();
-
   ReplicaHostOptions options_;
   std::mt19937_64 random_;
   PlanStateMachine& state_machine_;
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -68,6 +68,7 @@
       {Event::kServerAskedForTime, "server_asked_for_time"},
       {Event::kServerRateLimit, "server_rate_limit"},
       {Event::kServerCrashedAtStart, "server_crashed_at_start"},
+      {Event::kDeparturesRecovered, "departures_recovered"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
       {Event::kCallEnded, "call_ended"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -34,6 +34,7 @@
   kServerAskedForTime = 4007,
   kServerRateLimit = 4008,
   kServerCrashedAtStart = 4009,
+  kDeparturesRecovered = 4010,
   kRequestRefused = 5001,
   kRequestIncomplete = 5002,
   kCallEnded = 5003,
--- a/tests/core/fleet/quorum_tracker_test.cc
+++ b/tests/core/fleet/quorum_tracker_test.cc
@@ -33,5 +33,13 @@
   BOOST_TEST(quorum.IsMajority({"b", "c"}));
 }
 
+BOOST_AUTO_TEST_CASE(ProcessItselfCountsOnlyWhereListed) {
+  QuorumTracker quorum("a");
+  BOOST_TEST(!quorum.IncludesMajority({"a"}));
+  quorum.SetVoters({"a", "b", "c"});
+  BOOST_TEST(!quorum.IncludesMajority({"b"}));
+  BOOST_TEST(quorum.IncludesMajority({"a", "b"}));
+}
+
 }  // namespace
 }  // namespace coltsfootfork
