gateway: Refuse calls that may outlast the shutdown

Cause: a stopping entry refused streams that may not be resumed, whatever their timeout, and accepted all other calls, whatever theirs. Ruled out: slow engines (the streams are complete without the signal), and that only late requests are cut off (calls that arrive right after the signal are, too). Calls that were queued or held at the signal, or that no server had run, were dispatched later and cut off in the same way.

Change: while it shuts down, an entry dispatches a call only if its timeout, the smaller of the route's and the caller's, ends before the exit. The others get 503 with Retry-After at once, queued and held ones too; they have not run. Why this works: a call ends at its timeout at the latest, so the exit cuts off none that is dispatched after the signal. Streams that may not be resumed and end in time are served now.

--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -108,6 +108,13 @@
   StartQueueTimer();
 }
 
+void Gateway::BeginShutdown(Time deadline) {
+  context_.shutdown_deadline = deadline;
+  // Copied, since a refused call removes itself from the map.
+  const auto calls = calls_;
+  for (const auto& [number, call] : calls) call->OnShutdown();
+}
+
 void Gateway::SetOtherEntriesUsage(FleetLoad others, FleetDemand demand,
                                    Time now) {
   context_.balancer.SetOtherEntriesLoad(std::move(others));
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -58,9 +58,10 @@
     context_.on_drain_notice = std::move(handler);
   }
 
-  // From now on, refuses new streams that are not safe to retry: they may
-  // outlast the shutdown, which would cut them off.
-  void BeginShutdown() { context_.shutting_down = true; }
+  // From now on, refuses calls whose timeout is later than `deadline`, also the
+  // queued ones: the end of the process could cut them off. Calls that have
+  // been dispatched continue.
+  void BeginShutdown(Time deadline);
 
   void OnRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
 
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -93,6 +93,7 @@
   ChooseService();
   if (RefuseIfQuarantined(now)) return;
   StartDeadlineTimer(now);
+  if (RefuseIfOutlastsShutdown()) return;
   context_.budget.CountFirstAttempt(service_->name, now);
   if (service_->engine) {
     context_.headroom.OnArrival(service_->name, HeadroomRank(now),
@@ -116,6 +117,7 @@
 }
 
 void GatewayCall::DispatchToBestServer(Time now) {
+  if (RefuseIfOutlastsShutdown()) return;
   const auto choice = context_.balancer.Pick(MakeServerQuery(now), now);
   if (!choice) {
     if (attempts_ > 0 || may_have_run_) {
@@ -286,6 +288,10 @@
   Refuse({CallOutcome::kDeadlineExceeded, 503, kRetryAfterRefusal});
 }
 
+void GatewayCall::OnShutdown() {
+  if (queue_ticket_ || held_) RefuseIfOutlastsShutdown();
+}
+
 void GatewayCall::OnCallerDisconnected() {
   Finish(CallOutcome::kCallerDisconnected, 0);
 }
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -46,6 +46,9 @@
   // Starts the migration after `copy_delay` if it is still pending. The source
   // stops the stream after `stop_delay` at the earliest.
   void ScheduleMigration(Duration copy_delay, Duration stop_delay);
+  // Refuses the call if it waits for its dispatch and may outlast the shutdown
+  // of the entry.
+  void OnShutdown();
   const RequestId& id() const { return head_.id; }
 
  private:
@@ -61,13 +64,14 @@
   // the call may not be held any longer.
   bool Hold(Time now);
   std::optional<Refusal> FindRoute();
-  // Returns a refusal if the entry shuts down and the call may outlast it.
-  std::optional<Refusal> ShutdownRefusal() const;
   std::uint32_t RankFor(const PlanWorkspace* workspace) const;
   void ChooseService();
   // Refuses the call if a part of its prompt is quarantined. Returns whether it
   // was refused.
   bool RefuseIfQuarantined(Time now);
+  // Refuses the call if the entry shuts down and the call may outlast it,
+  // unless it may have run. Returns whether it was refused.
+  bool RefuseIfOutlastsShutdown();
   void StartDeadlineTimer(Time now);
 
   // Dispatch.
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -32,22 +32,24 @@
     return Refusal{CallOutcome::kNoRoute, 404, std::nullopt};
   }
   rank_ = RankFor(nullptr);
-  if (route_->is_public || !plan_->plan().needs_keys) {
-    return ShutdownRefusal();
-  }
+  if (route_->is_public || !plan_->plan().needs_keys) return std::nullopt;
   workspace_ = plan_->FindWorkspace(head_.api_key);
   if (workspace_ == nullptr) {
     return Refusal{CallOutcome::kUnknownKey, 401, std::nullopt};
   }
   rank_ = RankFor(workspace_);
-  return ShutdownRefusal();
+  return std::nullopt;
 }
 
-std::optional<GatewayCall::Refusal> GatewayCall::ShutdownRefusal() const {
-  const bool may_outlast_shutdown =
-      route_->kind == CallKind::kStreaming && !route_->IsSafeToRetry();
-  if (!context_.shutting_down || !may_outlast_shutdown) return std::nullopt;
-  return Refusal{CallOutcome::kStopping, 503, kRetryAfterStopping};
+bool GatewayCall::RefuseIfOutlastsShutdown() {
+  // A held call that has no route yet is checked when it gets one.
+  const bool has_run = may_have_run_ || response_started_;
+  if (!context_.shutdown_deadline || route_ == nullptr || has_run ||
+      deadline_ <= *context_.shutdown_deadline) {
+    return false;
+  }
+  Refuse({CallOutcome::kStopping, 503, kRetryAfterStopping});
+  return true;
 }
 
 std::uint32_t GatewayCall::RankFor(const PlanWorkspace* workspace) const {
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -84,8 +85,9 @@
   std::vector<std::weak_ptr<GatewayCall>> held_calls;
   // The calls in `admission_queue`.
   std::map<AdmissionQueue::Ticket, std::weak_ptr<GatewayCall>> queued_calls;
-  // The entry shuts down and refuses new streams that are not safe to retry.
-  bool shutting_down = false;
+  // Set while the entry shuts down: calls that have not been dispatched and may
+  // last longer than this are refused.
+  std::optional<Time> shutdown_deadline;
   // Number of entries that share the servers, including this one.
   std::uint32_t entry_count = 1;
 };
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -15,10 +15,12 @@
 // The load balancer in front of the entries removes an entry after two failed
 // readiness checks, one second apart. Until then it sends new connections.
 constexpr milliseconds kBalancerDelay{3200};
-constexpr milliseconds kIdleCheckInterval{50};
 // The process exits this long before the shutdown timeout, even if calls are
 // still in flight.
 constexpr milliseconds kExitMargin{250};
+// Calls must end this long before the exit, so that their responses can be
+// written.
+constexpr milliseconds kResponseMargin{250};
 
 HttpLimits MakeHttpLimits(const PlanLimits& limits) {
   HttpLimits http;
@@ -144,24 +146,19 @@
   const Time now = MonotonicNow();
   shutting_down_ = true;
   caller_server_->EndKeepAlive();
-  gateway_.BeginShutdown();
   const Time exit_at = now + settings_.shutdown_timeout - kExitMargin;
+  const Time end_calls_at = exit_at - kResponseMargin;
+  gateway_.BeginShutdown(end_calls_at);
   shutdown_timer_.expires_after(
       std::min<Duration>(kBalancerDelay, settings_.shutdown_timeout / 2));
   shutdown_timer_.async_wait([this, exit_at](boost::system::error_code error) {
     if (error) return;
     caller_server_->Stop();
-    ExitWhenIdle(exit_at);
-  });
-}
-
-void EntryGateway::ExitWhenIdle(Time exit_at) {
-  const bool idle =
-      gateway_.open_calls() == 0 && caller_server_->open_connections() == 0;
-  if (idle || MonotonicNow() >= exit_at) process_.Exit();
-  shutdown_timer_.expires_after(kIdleCheckInterval);
-  shutdown_timer_.async_wait([this, exit_at](boost::system::error_code error) {
-    if (!error) ExitWhenIdle(exit_at);
+    const auto is_idle = [this] {
+      return gateway_.open_calls() == 0 &&
+             caller_server_->open_connections() == 0;
+    };
+    process_.ExitWhenIdle(is_idle, exit_at);
   });
 }
 
--- a/src/shell/serving/entry_gateway.h
+++ b/src/shell/serving/entry_gateway.h
@@ -33,12 +33,11 @@
  private:
   void OnPlan(const PlanDocument& document);
   void OnReady(const std::shared_ptr<HttpExchange>& exchange);
-  // Reports not ready, refuses streams that shutdown would cut off, and stops
-  // accepting connections once the load balancer has removed this entry.
+  // Reports not ready, refuses calls that the exit could cut off, stops
+  // accepting connections once the load balancer has removed this entry, and
+  // exits when no call is in flight and all connections are closed, at the
+  // latest shortly before the shutdown timeout.
   void BeginShutdown();
-  // Exits the process when no call is in flight and all connections are closed,
-  // at the latest at `exit_at`.
-  void ExitWhenIdle(Time exit_at);
   bool IsReady() const;
 
   ServingSettings settings_;
--- a/src/shell/serving/serving_process.cc
+++ b/src/shell/serving/serving_process.cc
@@ -6,12 +6,15 @@
 #include <sstream>
 #include <utility>
 
+#include "shell/clock/monotonic_now.h"
+
 namespace coltsfootfork {
 namespace {
 
 // Interval at which the settings file is checked for changes. Short compared to
 // the time until a changed seed address may be needed.
 constexpr std::chrono::milliseconds kSettingsCheckInterval{5000};
+constexpr std::chrono::milliseconds kIdleCheckInterval{50};
 
 std::string ReadSettingsFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -31,7 +34,8 @@
       events_(std::move(events)),
       log_(io, settings.log_level),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
-      settings_check_timer_(io) {
+      settings_check_timer_(io),
+      idle_check_timer_(io) {
   std::signal(SIGPIPE, SIG_IGN);
   Log(LogLevel::kInfo, Event::kStarted,
       {{"process", settings.process},
@@ -44,6 +48,15 @@
   ScheduleSettingsCheck();
 }
 
+void ServingProcess::ExitWhenIdle(std::function<bool()> is_idle, Time exit_at) {
+  if (is_idle() || MonotonicNow() >= exit_at) Exit();
+  idle_check_timer_.expires_after(kIdleCheckInterval);
+  idle_check_timer_.async_wait([this, is_idle = std::move(is_idle),
+                                exit_at](boost::system::error_code error) {
+    if (!error) ExitWhenIdle(is_idle, exit_at);
+  });
+}
+
 void ServingProcess::Exit() {
   Log(LogLevel::kInfo, Event::kStopped, {});
   log_.Flush();
--- a/src/shell/serving/serving_process.h
+++ b/src/shell/serving/serving_process.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "coltsfootfork/core/types/time.h"
 #include "shell/log/buffered_log.h"
 #include "shell/serving/serving_settings.h"
 
@@ -28,6 +29,9 @@
   ServingProcess(const ServingProcess&) = delete;
   ServingProcess& operator=(const ServingProcess&) = delete;
 
+  // Exits the process once `is_idle` returns true, at the latest at `exit_at`.
+  // `is_idle` is called periodically and may end what is left.
+  void ExitWhenIdle(std::function<bool()> is_idle, Time exit_at);
   // Flushes the log and exits the process at once, without joining the threads
   // of the log library.
   [[noreturn]] void Exit();
@@ -45,6 +49,7 @@
   BufferedLog log_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer settings_check_timer_;
+  boost::asio::steady_timer idle_check_timer_;
   bool shutting_down_ = false;
 };
 
