gateway: Respond to unanswered calls before the exit

Callers saw: an entry that was stopped closed their connections without any response when a server had not responded to their call by the exit.

Cause: the process exited at its deadline with the calls that were left. A call that no server had got was cut off in the same way, although it had not run.

Change: a quarter of a second before the latest exit, calls whose response has not started get 504, which promises nothing, or 503 with Retry-After if no server got them. Streams continue until the exit.

On the code before, with real processes: StoppingEntryRespondsToUnansweredRequest check fixture.Request("r1").status == 504 has failed [0 != 504] With the change platform_processes and platform_gateway pass.

--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -115,6 +115,11 @@
   for (const auto& [number, call] : calls) call->OnShutdown();
 }
 
+void Gateway::EndUnansweredCalls() {
+  const auto calls = calls_;
+  for (const auto& [number, call] : calls) call->EndIfUnanswered();
+}
+
 void Gateway::SetOtherEntriesUsage(FleetLoad others, FleetDemand demand,
                                    Time now) {
   context_.balancer.SetOtherEntriesLoad(std::move(others));
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -62,6 +62,8 @@
   // queued ones: the end of the process could cut them off. Calls that have
   // been dispatched continue.
   void BeginShutdown(Time deadline);
+  // Responds to all calls whose response has not started.
+  void EndUnansweredCalls();
 
   void OnRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
 
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -17,6 +17,8 @@
 // server. Calls that are not safe to retry use a new connection instead.
 constexpr milliseconds kMaxIdleTimeForUnsafeCalls{1000};
 
+constexpr int kGatewayTimeout = 504;
+
 milliseconds AsMilliseconds(Duration duration) {
   return milliseconds(ToMilliseconds(duration));
 }
@@ -275,14 +277,16 @@
   Finish(outcome, response_.status);
 }
 
+bool GatewayCall::MayHaveRun() const {
+  return may_have_run_ || (attempt_ && attempt_->is_sent());
+}
+
 void GatewayCall::OnDeadline() {
   if (finished_) return;
-  const bool dispatched = may_have_run_ || (attempt_ && attempt_->is_sent());
   if (response_started_) {
     return AbortStartedResponse(CallOutcome::kDeadlineExceeded);
   }
-  constexpr int kGatewayTimeout = 504;
-  if (dispatched) {
+  if (MayHaveRun()) {
     return Refuse({CallOutcome::kDeadlineExceeded, kGatewayTimeout, {}});
   }
   Refuse({CallOutcome::kDeadlineExceeded, 503, kRetryAfterRefusal});
@@ -292,6 +296,14 @@
   if (queue_ticket_ || held_) RefuseIfOutlastsShutdown();
 }
 
+void GatewayCall::EndIfUnanswered() {
+  if (finished_ || response_started_) return;
+  if (MayHaveRun()) {
+    return Refuse({CallOutcome::kStopping, kGatewayTimeout, {}});
+  }
+  Refuse({CallOutcome::kStopping, 503, kRetryAfterStopping});
+}
+
 void GatewayCall::OnCallerDisconnected() {
   Finish(CallOutcome::kCallerDisconnected, 0);
 }
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -49,6 +49,8 @@
   // Refuses the call if it waits for its dispatch and may outlast the shutdown
   // of the entry.
   void OnShutdown();
+  // Responds to the caller unless the response has started.
+  void EndIfUnanswered();
   const RequestId& id() const { return head_.id; }
 
  private:
@@ -145,6 +147,8 @@
   // End of the call.
   void Refuse(const Refusal& refusal);
   void AbortStartedResponse(CallOutcome outcome);
+  // Returns whether a server may have run the call.
+  bool MayHaveRun() const;
   void OnDeadline();
   void OnCallerDisconnected();
   void Finish(CallOutcome outcome, int status);
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -18,8 +18,8 @@
 // The process exits this long before the shutdown timeout, even if calls are
 // still in flight.
 constexpr milliseconds kExitMargin{250};
-// Calls must end this long before the exit, so that their responses can be
-// written.
+// Calls must end, and unanswered ones are ended, this long before the exit, so
+// that their responses can be written.
 constexpr milliseconds kResponseMargin{250};
 
 HttpLimits MakeHttpLimits(const PlanLimits& limits) {
@@ -151,15 +151,17 @@
   gateway_.BeginShutdown(end_calls_at);
   shutdown_timer_.expires_after(
       std::min<Duration>(kBalancerDelay, settings_.shutdown_timeout / 2));
-  shutdown_timer_.async_wait([this, exit_at](boost::system::error_code error) {
-    if (error) return;
-    caller_server_->Stop();
-    const auto is_idle = [this] {
-      return gateway_.open_calls() == 0 &&
-             caller_server_->open_connections() == 0;
-    };
-    process_.ExitWhenIdle(is_idle, exit_at);
-  });
+  shutdown_timer_.async_wait(
+      [this, exit_at, end_calls_at](boost::system::error_code error) {
+        if (error) return;
+        caller_server_->Stop();
+        const auto is_idle = [this, end_calls_at] {
+          if (MonotonicNow() >= end_calls_at) gateway_.EndUnansweredCalls();
+          return gateway_.open_calls() == 0 &&
+                 caller_server_->open_connections() == 0;
+        };
+        process_.ExitWhenIdle(is_idle, exit_at);
+      });
 }
 
 }  // namespace coltsfootfork
--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/platform_engine.h"
+#include "platform/scripted_server.h"
 #include "shell/net/http_client.h"
 #include "shell/net/ip_address.h"
 #include "support/child_process.h"
@@ -195,6 +196,19 @@
   BOOST_TEST(fixture.entry->Wait() == 0);
 }
 
+// Guards against requests that wait for a server when the entry exits, and get
+// no response.
+BOOST_AUTO_TEST_CASE(StoppingEntryRespondsToUnansweredRequest) {
+  ProcessesFixture fixture(/*stop_within_s=*/2.0);
+  ScriptedServer silent(fixture.io, [&](const std::string&, int) {
+    fixture.entry->Signal(SIGTERM);
+    return ScriptedResponse();
+  });
+  fixture.SetUpService(silent.address());
+  BOOST_TEST(fixture.Request("r1").status == 504);
+  BOOST_TEST(fixture.entry->Wait() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidSettingsReloadDoesNotAffectEntry) {
   ProcessesFixture fixture;
   fixture.SetUpService();
--- a/tests/platform/shutdown_test.cc
+++ b/tests/platform/shutdown_test.cc
@@ -4,6 +4,7 @@
 
 #include "platform/gateway_fixture.h"
 #include "platform/platform_engine.h"
+#include "platform/scripted_server.h"
 #include "shell/clock/monotonic_now.h"
 
 // The gateway of an entry that shuts down.
@@ -86,5 +87,32 @@
   RunUntil([&] { return running->has_value(); });
 }
 
+// Guards against calls without any response at the exit of the process.
+BOOST_FIXTURE_TEST_CASE(UnansweredCallsGetAResponseBeforeTheExit,
+                        ShutdownFixture) {
+  ScriptedServer silent(
+      io, [](const std::string&, int) { return ScriptedResponse(); });
+  engine.SetEventsPerStream(1000000);
+  const auto stream = Start(StreamRequest("/talk/1", "r2"));
+  RunUntil([&] { return engine.running() == 1; });
+  // The head of the stream is forwarded before a later call is served.
+  BOOST_TEST(FetchFrom("/stock/1").has_value());
+  Announce("i-3", silent.address(), "ledger");
+  Announce("i-2", server.address(), "ledger", ServerState::kRemoved);
+  const auto sent = Start(Request("/sale/1", "r1"));
+  RunUntil([&] { return silent.requests().size() == 1; });
+  gateway.BeginShutdown(MonotonicNow() + kBeforeTimeout);
+  BOOST_TEST(gateway.open_calls() == 2U);
+  gateway.EndUnansweredCalls();
+  RunUntil([&] { return sent->has_value(); });
+  BOOST_REQUIRE((*sent)->response.has_value());
+  // The call may have run.
+  BOOST_TEST((*sent)->response->status == 504);
+  // A response that has started may still be completed.
+  BOOST_TEST(gateway.open_calls() == 1U);
+  engine.Crash();
+  RunUntil([&] { return stream->has_value(); });
+}
+
 }  // namespace
 }  // namespace coltsfootfork
