net: Answer requests that have begun to arrive at a stop

Callers saw: a process that stopped listening closed their connection without a response although a part of the request, or all of it, had arrived.

Cause: HttpServer::Stop closed every connection on which no request was being handled, also those on which one was being read or waited in the socket. It is how entries, control processes and the processes of `coltsfootfork run` stop.

Change: only connections without any byte of a request are closed. On the others the request is read, within the usual time limit, and answered, and the connection is closed after the response. Each role still ends by its deadline.

On the code before: StoppingServerAnswersRequestsThatHaveBegunToArrive check response.find("HTTP/1.1 200") == 0U has failed, for both connections With the change the test passes; an idle connection is still closed at once.

--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -61,7 +61,9 @@
 
 void HttpSession::CloseWhenIdle() {
   keep_alive_ = false;
-  if (state_ == State::kReading) Close();
+  // A request that has begun to arrive is read and answered.
+  error_code ignored;
+  if (idle_ && stream_.socket().available(ignored) == 0) Close();
 }
 
 bool HttpSession::UpdateKeepAlive() {
--- a/tests/shell/net/http_server_test.cc
+++ b/tests/shell/net/http_server_test.cc
@@ -18,13 +18,8 @@
 
 tcp::endpoint AnyPort() { return ParseEndpoint("127.0.0.1:0").value(); }
 
-// Sends raw bytes and returns everything received until the server closes the
-// connection.
-std::string Exchange(boost::asio::io_context& io, const tcp::endpoint& server,
-                     const std::string& bytes) {
-  tcp::socket socket(io);
-  socket.connect(server);
-  boost::asio::write(socket, boost::asio::buffer(bytes));
+// Returns everything received until the server closes the connection.
+std::string ReadToEnd(boost::asio::io_context& io, tcp::socket& socket) {
   std::string response;
   char buffer[4096];
   bool connection_closed = false;
@@ -42,6 +37,16 @@
   return response;
 }
 
+// Sends raw bytes and returns everything received until the server closes the
+// connection.
+std::string Exchange(boost::asio::io_context& io, const tcp::endpoint& server,
+                     const std::string& bytes) {
+  tcp::socket socket(io);
+  socket.connect(server);
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  return ReadToEnd(io, socket);
+}
+
 BOOST_AUTO_TEST_CASE(RequestAndResponseAreTransferredCompletely) {
   boost::asio::io_context io;
   HttpServer server(
@@ -135,6 +140,40 @@
   server.Stop();
 }
 
+// Guards against requests that a stopping server drops although a part of them,
+// or all of them, has arrived.
+BOOST_AUTO_TEST_CASE(StoppingServerAnswersRequestsThatHaveBegunToArrive) {
+  boost::asio::io_context io;
+  HttpServer server(io, AnyPort(), {},
+                    [](const HttpRequest& request, const auto& exchange) {
+                      exchange->Respond({200, "", {}, request.body});
+                    });
+  const auto connect = [&] {
+    tcp::socket socket(io);
+    socket.connect(server.local_endpoint());
+    return socket;
+  };
+  tcp::socket idle = connect();
+  tcp::socket partial = connect();
+  tcp::socket whole = connect();
+  while (server.open_connections() < 3) BOOST_REQUIRE(io.run_one() > 0);
+  const std::string head = "POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\n";
+  boost::asio::write(partial, boost::asio::buffer(head + "bo"));
+  // Lets the session read the first part.
+  io.run_for(std::chrono::milliseconds(20));
+  boost::asio::write(whole, boost::asio::buffer(head + "body"));
+  server.Stop();
+  boost::asio::write(partial, boost::asio::buffer(std::string("dy")));
+  for (tcp::socket* socket : {&partial, &whole}) {
+    const std::string response = ReadToEnd(io, *socket);
+    BOOST_TEST(response.find("HTTP/1.1 200") == 0U);
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+    BOOST_TEST(response.find("body") != std::string::npos);
+  }
+  BOOST_TEST(ReadToEnd(io, idle).empty());
+  BOOST_TEST(server.open_connections() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
   boost::asio::io_context io;
   std::shared_ptr<HttpExchange> first_exchange;
