--- a/tests/platform/processes_test.cc
+++ b/tests/platform/processes_test.cc
@@ -20,7 +20,8 @@
 using nlohmann::json;
 
 struct ProcessesFixture {
-  explicit ProcessesFixture(double stop_within_s = 8.0)
+  explicit ProcessesFixture(double stop_within_s = 8.0,
+                            bool is_first_start = true)
       : engine(io, "i-1"), model(io, "i-2") {
     const json shared = {{"availability_zone", "z"},
                          {"ip", "127.0.0.1"},
@@ -32,7 +33,7 @@
     settings["control_listen"] = control_address;
     settings["metrics_listen"] = control_metrics_address;
     settings["data_folder"] = fleet.folder() + "/data";
-    settings["is_first_start"] = true;
+    settings["is_first_start"] = is_first_start;
     Start("control", settings, control);
     settings = shared;
     settings["process"] = "entry-1";
@@ -209,6 +210,34 @@
   BOOST_TEST(fixture.entry->Wait() == 0);
 }
 
+// Guards against operators' and servers' requests that wait for a leader or a
+// quorum when the control process exits, and get no response.
+BOOST_AUTO_TEST_CASE(StoppingControlProcessRespondsToWaitingRequest) {
+  // Without a replica group a read waits for a leader until it times out.
+  ProcessesFixture fixture(/*stop_within_s=*/8.0, /*is_first_start=*/false);
+  const auto read = [&] {
+    return fixture.Call(fixture.control_address, "GET", "/api/config/get", "")
+        .status;
+  };
+  Fleet::Await("the process listens", [&] { return read() == 503; });
+  std::optional<HttpFetchResult> waiting;
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/api/config/get";
+  HttpFetch(fixture.io, ParseEndpoint(fixture.control_address).value(), request,
+            std::chrono::seconds(30),
+            [&](HttpFetchResult result) { waiting = std::move(result); });
+  BOOST_TEST(fixture
+                 .Call(fixture.control_address, "POST",
+                       "/api/instances/i-1/heartbeat", "")
+                 .status == 400);
+  fixture.control->Signal(SIGTERM);
+  while (!waiting) BOOST_REQUIRE(fixture.io.run_one() > 0);
+  BOOST_REQUIRE(waiting->response.has_value());
+  BOOST_TEST(waiting->response->status == 503);
+  BOOST_TEST(fixture.control->Wait() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidSettingsReloadDoesNotAffectEntry) {
   ProcessesFixture fixture;
   fixture.SetUpService();
