--- a/tests/platform/control_test.cc
+++ b/tests/platform/control_test.cc
@@ -1,19 +1,14 @@
-#include <stdlib.h>
-
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <memory>
-#include <nlohmann/json.hpp>
+#include <string>
 #include <vector>
 
-#include "control_api.h"
+#include "platform/control_group.h"
 #include "shell/clock/monotonic_now.h"
-#include "shell/fleet/control_node.h"
 #include "shell/fleet/control_subscriber.h"
-#include "shell/net/http_client.h"
-#include "shell/net/ip_address.h"
 
 // Control processes with their HTTP API, and entries that are subscribed to
 // them, in one event loop.
@@ -21,149 +16,6 @@
 namespace {
 
 namespace fs = std::filesystem;
-using boost::asio::ip::tcp;
-using nlohmann::json;
-
-std::string UnusedAddress() {
-  boost::asio::io_context io;
-  const tcp::acceptor acceptor(io, ParseEndpoint("127.0.0.1:0").value());
-  return FormatEndpoint(acceptor.local_endpoint());
-}
-
-struct ControlProcess {
-  std::string address;
-  std::string folder;
-  std::unique_ptr<ControlNode> control;
-  std::unique_ptr<ControlApi> api;
-  std::string api_address;
-};
-
-class ControlGroup {
- public:
-  // The processes after the first `count_with_disk` have no data folder.
-  ControlGroup(int count, int count_with_disk) {
-    std::string pattern = (fs::temp_directory_path() / "group-XXXXXX").string();
-    folder_ = ::mkdtemp(pattern.data());
-    for (int i = 0; i < count; ++i) {
-      ControlProcess process;
-      process.address = UnusedAddress();
-      if (i < count_with_disk) {
-        process.folder = folder_ + "/" + std::to_string(i);
-      }
-      processes.push_back(std::move(process));
-    }
-    for (int i = 0; i < count; ++i) Start(i, /*is_first_start=*/true);
-  }
-  ~ControlGroup() { fs::remove_all(folder_); }
-  ControlGroup(const ControlGroup&) = delete;
-  ControlGroup& operator=(const ControlGroup&) = delete;
-
-  void Start(int index, bool is_first_start) {
-    ControlProcess& process = processes[index];
-    ControlNodeOptions options;
-    options.self = process.address;
-    options.data_folder = process.folder;
-    options.is_first_start = is_first_start;
-    options.seed = 11 + index;
-    for (int i = 0; i < 3 && i < static_cast<int>(processes.size()); ++i) {
-      options.seeds.push_back(processes[i].address);
-    }
-    process.control =
-        std::make_unique<ControlNode>(io, options, MonotonicNow());
-    const auto listen = ParseEndpoint(UnusedAddress()).value();
-    process.api = std::make_unique<ControlApi>(io, listen, *process.control);
-    process.api_address = FormatEndpoint(listen);
-  }
-
-  HttpResponse Call(int index, const std::string& method,
-                    const std::string& path, const std::string& body) {
-    HttpRequest request;
-    request.method = method;
-    request.target = path;
-    request.body = body;
-    std::optional<HttpFetchResult> done;
-    HttpFetch(io, ParseEndpoint(processes[index].api_address).value(), request,
-              std::chrono::seconds(30),
-              [&](HttpFetchResult result) { done = std::move(result); });
-    RunUntil([&] { return done.has_value(); });
-    return done->response.value_or(HttpResponse{0, "", {}, ""});
-  }
-  int Put(int index, int version, int timeout_ms = 1000) {
-    const json document = {{"version", version},
-                           {"routes",
-                            {{{"host", "a"},
-                              {"path_prefix", "/"},
-                              {"kind", "idempotent"},
-                              {"timeout_ms", timeout_ms},
-                              {"service", "s"}}}},
-                           {"services", {{{"name", "s"}}}}};
-    return Call(index, "POST", "/api/config/put", document.dump()).status;
-  }
-  // Retries the change until it is acknowledged, as operators do.
-  void PutUntilAccepted(int index, int version) {
-    while (Put(index, version) != 200) {
-    }
-  }
-  // Returns the version of the plan, or the negative HTTP status of a failure.
-  int ReadVersion(int index) {
-    const HttpResponse response = Call(index, "GET", "/api/config/get", "");
-    if (response.status != 200) return -response.status;
-    return json::parse(response.body).at("version").get<int>();
-  }
-  // Retries, as operators do, while the process cannot confirm that its plan is
-  // the latest.
-  int ReadVersionUntilAvailable(int index) {
-    int version = 0;
-    while ((version = ReadVersion(index)) == -503) {
-    }
-    return version;
-  }
-  int Heartbeat(int index, const std::string& id, int sequence,
-                const std::string& state, int incarnation = 1000) {
-    const json body = {{"service", "s"},      {"address", "127.0.0.1:9"},
-                       {"state", state},      {"sequence", sequence},
-                       {"born", incarnation}, {"slots", 4}};
-    return Call(index, "POST", "/api/instances/" + id + "/heartbeat",
-                body.dump())
-        .status;
-  }
-  int Deregister(int index, const std::string& id) {
-    return Call(index, "POST", "/api/instances/" + id + "/deregister",
-                R"({"sequence":99,"born":1000})")
-        .status;
-  }
-  // Retries, as backend servers do, until `call` returns 200.
-  static void UntilAcknowledged(const std::function<int()>& call) {
-    while (call() != 200) {
-    }
-  }
-  // Ends all processes without a shutdown and starts them with their disks.
-  void RestartAll() {
-    for (ControlProcess& process : processes) {
-      process.api.reset();
-      process.control.reset();
-    }
-    for (int i = 0; i < static_cast<int>(processes.size()); ++i) {
-      Start(i, /*is_first_start=*/false);
-    }
-  }
-  ServerState StateOf(int index, const std::string& id) const {
-    return processes[index]
-        .control->directory()
-        .Find(ServerId(id))
-        ->record.state;
-  }
-  void RunUntil(const std::function<bool()>& condition) {
-    while (!condition()) BOOST_REQUIRE(io.run_one() > 0);
-  }
-
-  boost::asio::io_context io{1};
-  std::vector<ControlProcess> processes;
-
- private:
-  std::string folder_;
-};
-
 BOOST_AUTO_TEST_CASE(AcceptedPlanIsReadBackFromEveryProcess) {
   ControlGroup group(4, 3);
   group.PutUntilAccepted(0, 5);
@@ -204,92 +56,12 @@
 BOOST_AUTO_TEST_CASE(AcknowledgedPlanSurvivesRestartOfAllProcesses) {
   ControlGroup group(3, 3);
   group.PutUntilAccepted(0, 5);
-  for (ControlProcess& process : group.processes) {
-    process.api.reset();
-    process.control.reset();
-  }
-  for (int i = 0; i < 3; ++i) group.Start(i, /*is_first_start=*/false);
+  group.RestartAll();
   int version = 0;
   group.RunUntil([&] { return (version = group.ReadVersion(1)) > 0; });
   BOOST_TEST(version == 5);
 }
 
-// Guards against departures that were acknowledged from memory only: after a
-// restart of all processes, a delayed heartbeat restored a removed server.
-BOOST_AUTO_TEST_CASE(AcknowledgedDeregistrationSurvivesRestartOfAllProcesses) {
-  ControlGroup group(3, 3);
-  group.PutUntilAccepted(0, 5);
-  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready") == 200);
-  group.UntilAcknowledged([&] { return group.Deregister(0, "i-1"); });
-  group.RestartAll();
-  for (int i = 0; i < 3; ++i) {
-    BOOST_TEST(group.Heartbeat(i, "i-1", 2, "ready") == 200);
-    BOOST_CHECK(group.StateOf(i, "i-1") == ServerState::kRemoved);
-  }
-  // A server that starts anew under the id is used again.
-  BOOST_TEST(group.Heartbeat(1, "i-1", 1, "ready", 2000) == 200);
-  BOOST_CHECK(group.StateOf(1, "i-1") == ServerState::kReady);
-}
-
-// Guards against the same fault for a drain notice in a heartbeat.
-BOOST_AUTO_TEST_CASE(AcknowledgedDrainSurvivesRestartOfAllProcesses) {
-  ControlGroup group(3, 3);
-  group.PutUntilAccepted(0, 5);
-  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready") == 200);
-  group.UntilAcknowledged(
-      [&] { return group.Heartbeat(1, "i-1", 3, "draining"); });
-  // A second restart reads what the first one has recovered.
-  for (int restart = 0; restart < 2; ++restart) {
-    group.RestartAll();
-    BOOST_TEST(group.Heartbeat(2, "i-1", 2, "ready") == 200);
-    BOOST_CHECK(group.StateOf(2, "i-1") == ServerState::kDraining);
-  }
-  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready", 2000) == 200);
-  BOOST_CHECK(group.StateOf(0, "i-1") == ServerState::kReady);
-}
-
-// Guards against removed servers that did not count in the comparison of
-// directories: a restarted process reported itself as current without them, and
-// a delayed heartbeat restored the server there.
-BOOST_AUTO_TEST_CASE(RestartedProcessIsCurrentOnlyWithRemovedServers) {
-  ControlGroup group(4, 3);
-  group.PutUntilAccepted(0, 5);
-  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready") == 200);
-  group.UntilAcknowledged([&] { return group.Deregister(0, "i-1"); });
-  ControlProcess& restarted = group.processes[3];
-  restarted.api.reset();
-  restarted.control.reset();
-  group.Start(3, /*is_first_start=*/false);
-  group.RunUntil([&] {
-    return restarted.control->MetricValues().at("control_is_current") == 1;
-  });
-  BOOST_TEST(group.Heartbeat(3, "i-1", 2, "ready") == 200);
-  BOOST_CHECK(group.StateOf(3, "i-1") == ServerState::kRemoved);
-}
-
-// Guards against an ack of a deregistration without effect: the record of an
-// unknown incarnation does not outrank that of a heartbeat.
-BOOST_AUTO_TEST_CASE(DeregistrationOfUnknownIncarnationIsNotAcknowledged) {
-  ControlGroup group(1, 1);
-  group.PutUntilAccepted(0, 5);
-  const std::string path = "/api/instances/i-1/deregister";
-  BOOST_TEST(group.Call(0, "POST", path, "").status == 503);
-  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready") == 200);
-  BOOST_TEST(group.Call(0, "POST", path, "").status == 200);
-  BOOST_CHECK(group.StateOf(0, "i-1") == ServerState::kRemoved);
-}
-
-// Guards against an ack of a departure while the voters are unknown, when no
-// other process need have it.
-BOOST_AUTO_TEST_CASE(DepartureIsNotAcknowledgedWithoutKnownVoters) {
-  ControlGroup group(1, 0);
-  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready") == 200);
-  BOOST_TEST(group.Heartbeat(0, "i-1", 2, "draining") == 503);
-  BOOST_TEST(group.Deregister(0, "i-1") == 503);
-  // The server gets no new calls nevertheless.
-  BOOST_CHECK(group.StateOf(0, "i-1") == ServerState::kRemoved);
-}
-
 BOOST_AUTO_TEST_CASE(WithoutQuorumNothingIsAcknowledgedOrRead) {
   ControlGroup group(3, 3);
   group.PutUntilAccepted(0, 5);
