--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -101,8 +101,8 @@
   void SetLimits(const HttpLimits& limits) { limits_ = limits; }
   // Makes every further response the last one of its connection.
   void EndKeepAlive() { keep_alive_ = false; }
-  // Stops accepting connections, closes the idle ones, and closes those on which
-  // a request has begun to arrive when its response has been written.
+  // Stops accepting connections, closes the idle ones, and closes those on
+  // which a request has begun to arrive when its response has been written.
   void Stop();
   std::size_t open_connections() const { return sessions_.size(); }
 
--- a/src/shell/net/http_session.h
+++ b/src/shell/net/http_session.h
@@ -24,8 +24,8 @@
   ~HttpSession() override;
 
   void Start();
-  // Closes the connection now if no request has begun to arrive, otherwise after
-  // the response.
+  // Closes the connection now if no request has begun to arrive, otherwise
+  // after the response.
   void CloseWhenIdle();
   // Called by the destructor of the server, which must not be used afterwards.
   void Detach() { server_ = nullptr; }
