--- a/soak/fault.cc
+++ b/soak/fault.cc
@@ -10,11 +10,16 @@
 constexpr int kMinFaultMilliseconds = 50;
 constexpr int kMinPauseMilliseconds = 50;
 constexpr int kMaxPauseMilliseconds = 700;
+constexpr int kFaultsPerKillAll = 15;
+// The system is back within a second after all its processes were killed.
+constexpr int kMaxKillAllMilliseconds = 1000;
 
-constexpr std::array<const char*, 11> kKinds = {
-    "pause",         "kill",         "stop",   "reload", "delay", "reset",
-    "silence_there", "silence_back", "refuse", "crash",  "drain"};
-constexpr std::array<const char*, 3> kTargets = {"control", "entry", "server"};
+constexpr std::array<const char*, 13> kKinds = {
+    "pause", "kill",          "stop",         "reload", "delay",
+    "reset", "silence_there", "silence_back", "refuse", "crash",
+    "drain", "deregister",    "kill_all"};
+constexpr std::array<const char*, 4> kTargets = {"control", "entry", "server",
+                                                 "fleet"};
 
 std::size_t DrawBelow(std::size_t end, std::mt19937_64& random) {
   return std::uniform_int_distribution<std::size_t>(0, end - 1)(random);
@@ -40,9 +45,16 @@
          " ms";
 }
 
-Fault DrawFault(const FaultTargetCounts& target_counts,
+Fault DrawFault(FaultMix mix, const FaultTargetCounts& target_counts,
                 std::mt19937_64& random) {
   Fault fault;
+  if (mix == FaultMix::kAll && DrawBelow(kFaultsPerKillAll, random) == 0) {
+    fault.kind = FaultKind::kKillAll;
+    fault.target = FaultTarget::kFleet;
+    fault.duration =
+        Draw(kMinFaultMilliseconds, kMaxKillAllMilliseconds, random);
+    return fault;
+  }
   const std::size_t all =
       target_counts.controls + target_counts.entries + target_counts.servers;
   std::size_t number = DrawBelow(all, random);
@@ -56,8 +68,17 @@
     fault.target = FaultTarget::kServer;
   }
   fault.number = number;
-  fault.kind = fault.target == FaultTarget::kServer
-                   ? DrawKind(FaultKind::kDelay, FaultKind::kDrain, random)
+  const bool is_server = fault.target == FaultTarget::kServer;
+  if (mix == FaultMix::kPlanned) {
+    fault.kind =
+        is_server ? DrawKind(FaultKind::kDrain, FaultKind::kDeregister, random)
+                  : DrawKind(FaultKind::kStop, FaultKind::kReload, random);
+    // Ends after the process has exited, and after the server's notice.
+    fault.duration = kMaxFaultDuration;
+    return fault;
+  }
+  fault.kind = is_server
+                   ? DrawKind(FaultKind::kDelay, FaultKind::kDeregister, random)
                    : DrawKind(FaultKind::kPause, FaultKind::kRefuse, random);
   fault.duration = Draw(kMinFaultMilliseconds,
                         static_cast<int>(kMaxFaultDuration.count()), random);
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -23,9 +23,20 @@
   // Faults of a backend server.
   kCrash,
   kDrain,
+  // The server deregisters without a drain, and continues to serve.
+  kDeregister,
+  // All control processes and entries are killed at the same moment.
+  kKillAll,
 };
 
-enum class FaultTarget : std::uint8_t { kControl = 0, kEntry, kServer };
+enum class FaultTarget : std::uint8_t { kControl = 0, kEntry, kServer, kFleet };
+
+// Which faults are injected.
+enum class FaultMix : std::uint8_t {
+  kAll = 0,
+  // Planned work only: graceful shutdowns, reloads, drains and deregistrations.
+  kPlanned,
+};
 
 // An injected fault and its duration.
 struct Fault {
@@ -44,7 +55,7 @@
   std::size_t servers = 0;
 };
 
-Fault DrawFault(const FaultTargetCounts& target_counts,
+Fault DrawFault(FaultMix mix, const FaultTargetCounts& target_counts,
                 std::mt19937_64& random);
 
 // The upper limit of a fault's duration.
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -24,6 +24,11 @@
                                   const ObservedResponse& observed) {
   kinds_[call] = kind;
   ++responses_;
+  // A stream that began before the entry was stopped may outlast it.
+  const bool excused = observed.status && !observed.sent_to_stopping;
+  if (planned_ && !observed.complete && !observed.timed_out && !excused) {
+    cut_off_.insert(call);
+  }
   if (!observed.status) return;
   if (PromisesNotRun(*observed.status)) refused_[call] = *observed.status;
   if (*observed.status == kOk) CheckSuccess(call, kind, observed);
@@ -38,7 +43,7 @@
   if (observed.signature.empty()) {
     AddFinding(call, "a success without a signature");
   }
-  if (kind == SoakKind::kStream) return CheckStream(call, observed);
+  if (IsStream(kind)) return CheckStream(call, observed);
   const std::string end = " for " + call;
   const bool ends =
       observed.body.size() > end.size() &&
@@ -85,10 +90,14 @@
   for (const auto& [call, count] : runs) runs_[call] += count;
 }
 
-void InvariantChecker::CheckRefusals() {
+void InvariantChecker::CheckRuns() {
   for (const auto& [call, count] : runs_) {
+    if (cut_off_.count(call) != 0) AddFinding(call, "ran and was cut off");
     const auto kind = kinds_.find(call);
-    if (kind == kinds_.end() || kind->second == SoakKind::kRead) continue;
+    const bool may_run_again = kind == kinds_.end() ||
+                               kind->second == SoakKind::kRead ||
+                               kind->second == SoakKind::kResumableStream;
+    if (may_run_again) continue;
     if (count > 1) AddFinding(call, "ran " + std::to_string(count) + " times");
     const auto refused = refused_.find(call);
     if (refused == refused_.end()) continue;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -13,7 +13,8 @@
 
 Usage:
   coltsfootfork_soak [--seed=N] [--runs=N] [--seconds=N] [--recovers=N]
-                     [--logs=DIR] [--whole-disks] [--plant]
+                     [--entries=N] [--logs=DIR] [--whole-disks] [--planned]
+                     [--plant]
   coltsfootfork_soak --help
 
 Options:
@@ -22,8 +23,11 @@
   --seconds=N  How long faults come in each [default: 10].
   --recovers=N  A recovery that takes more seconds is a finding; 0: no matter how
                 long it takes [default: 0].
+  --entries=N  How many entries [default: 2].
   --logs=DIR   Keeps the logs of runs with findings there.
   --whole-disks  No step on a disk fails; else 2 in 1,000 do.
+  --planned    Planned work only: graceful shutdowns, reloads, drains and
+               deregistrations. They must cut off no call.
   --plant      Lets a backend server lie about what it has run: the checks must
                find it.
 )";
@@ -37,6 +41,12 @@
   options.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
   options.duration = std::chrono::seconds(arguments.at("--seconds").asLong());
   if (arguments.at("--whole-disks").asBool()) options.disk_fault_share = 0;
+  if (arguments.at("--planned").asBool()) {
+    options.mix = coltsfootfork::FaultMix::kPlanned;
+    options.disk_fault_share = 0;
+  }
+  options.entries =
+      static_cast<std::size_t>(arguments.at("--entries").asLong());
   options.plant_fault = arguments.at("--plant").asBool();
   options.recovery_limit =
       std::chrono::seconds(arguments.at("--recovers").asLong());
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -20,6 +20,8 @@
   switch (kind) {
     case SoakKind::kStream:
       return "/talk/1";
+    case SoakKind::kResumableStream:
+      return "/verdict/1";
     case SoakKind::kSale:
       return "/sale/1";
     case SoakKind::kRead:
@@ -31,11 +33,13 @@
 }  // namespace
 
 SoakCaller::SoakCaller(boost::asio::io_context& io, std::string name,
-                       std::vector<Endpoint> entries, std::uint64_t seed,
+                       std::vector<Entry> entries,
+                       std::vector<milliseconds> timeouts, std::uint64_t seed,
                        Done done)
     : io_(io),
       name_(std::move(name)),
       entries_(std::move(entries)),
+      timeouts_(std::move(timeouts)),
       random_(seed),
       done_(std::move(done)),
       pause_(io) {}
@@ -49,7 +53,8 @@
     if (error || stopping_) return;
     idle_ = false;
     call_ = name_ + "-" + std::to_string(++number_);
-    std::uniform_int_distribution<int> kinds(0, 2);
+    std::uniform_int_distribution<int> kinds(0,
+                                             static_cast<int>(SoakKind::kRead));
     kind_ = static_cast<SoakKind>(kinds(random_));
     if (stream_) return Send();
     Connect();
@@ -61,7 +66,8 @@
   buffer_.clear();
   stream_.emplace(io_);
   stream_->expires_after(kRequestTimeout);
-  stream_->async_connect(entries_[index(random_)], [this](error_code error) {
+  entry_ = index(random_);
+  stream_->async_connect(entries_[entry_].address, [this](error_code error) {
     if (error) return End(false);
     Send();
   });
@@ -71,8 +77,12 @@
   request_ = {http::verb::post, PathOf(kind_), kHttp11};
   request_.set(http::field::host, "a.example");
   request_.set("Request-Id", call_);
-  request_.set("Deadline-Ms", "6000");
-  if (kind_ == SoakKind::kStream) {
+  std::uniform_int_distribution<std::size_t> index(0, timeouts_.size() - 1);
+  const milliseconds timeout = timeouts_[index(random_)];
+  request_.set("Deadline-Ms", std::to_string(timeout.count()));
+  times_out_at_ = std::chrono::steady_clock::now() + timeout;
+  sent_to_stopping_ = entries_[entry_].is_stopping();
+  if (IsStream(kind_)) {
     request_.set("Model", "m");
     request_.set("Token-Counts", "100,600");
   }
@@ -92,6 +102,8 @@
 
 ObservedResponse SoakCaller::ObserveResponse(bool complete) const {
   ObservedResponse observed;
+  observed.timed_out = std::chrono::steady_clock::now() >= times_out_at_;
+  observed.sent_to_stopping = sent_to_stopping_;
   if (!parser_ || !parser_->is_header_done()) return observed;
   const auto& response = parser_->get();
   observed.status = static_cast<int>(response.result_int());
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -26,8 +27,17 @@
   using Done = std::function<void(const std::string& call, SoakKind kind,
                                   const ObservedResponse& observed)>;
 
+  // An entry's address, and whether the entry was signalled to stop.
+  struct Entry {
+    Endpoint address;
+    std::function<bool()> is_stopping;
+  };
+
+  // Each request names one of the timeouts.
   SoakCaller(boost::asio::io_context& io, std::string name,
-             std::vector<Endpoint> entries, std::uint64_t seed, Done done);
+             std::vector<Entry> entries,
+             std::vector<std::chrono::milliseconds> timeouts,
+             std::uint64_t seed, Done done);
 
   void Start() { Next(); }
   // Starts no further call. The call in flight still finishes.
@@ -44,7 +54,8 @@
 
   boost::asio::io_context& io_;
   std::string name_;
-  std::vector<Endpoint> entries_;
+  std::vector<Entry> entries_;
+  std::vector<std::chrono::milliseconds> timeouts_;
   std::mt19937_64 random_;
   Done done_;
   boost::asio::steady_timer pause_;
@@ -56,6 +67,10 @@
       parser_;
   std::string call_;
   SoakKind kind_ = SoakKind::kRead;
+  // The entry of the connection.
+  std::size_t entry_ = 0;
+  std::chrono::steady_clock::time_point times_out_at_;
+  bool sent_to_stopping_ = false;
   int number_ = 0;
   bool stopping_ = false;
   bool idle_ = true;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -15,7 +15,6 @@
 using nlohmann::json;
 
 constexpr std::size_t kControls = 3;
-constexpr std::size_t kEntries = 2;
 constexpr std::size_t kServers = 5;
 constexpr std::size_t kModelServers = 3;
 constexpr std::chrono::milliseconds kInjectedDelay{60};
@@ -43,12 +42,10 @@
 
 }  // namespace
 
-SoakFleet::SoakFleet(boost::asio::io_context& io, double disk_fault_share)
-    : io_(io),
-      disk_fault_share_(disk_fault_share),
-      fleet_port_(PortOf(Fleet::UnusedAddress())) {
+SoakFleet::SoakFleet(boost::asio::io_context& io, const Options& options)
+    : io_(io), options_(options), fleet_port_(PortOf(Fleet::UnusedAddress())) {
   for (std::size_t i = 0; i < kControls; ++i) AddControl(i);
-  for (std::size_t i = 0; i < kEntries; ++i) AddEntry(i);
+  for (std::size_t i = 0; i < options_.entries; ++i) AddEntry(i);
   for (std::size_t i = 0; i < kServers; ++i) AddServer(i);
   std::vector<PlatformEngine*> peers;
   for (Server& server : servers_) peers.push_back(server.engine.get());
@@ -96,7 +93,7 @@
                          {"control_listen", process.address},
                          {"control_seeds", seeds},
                          {"data_folder", fleet_.folder() + "/" + name},
-                         {"test_disk_fault_share", disk_fault_share_},
+                         {"test_disk_fault_share", options_.disk_fault_share},
                          {"is_first_start", true}};
   std::ofstream(process.settings) << settings.dump();
   process.proxy = std::make_unique<LoopbackProxy>(
@@ -136,7 +133,9 @@
   server.proxy = std::make_unique<LoopbackProxy>(
       io_, ToEndpoint("127.0.0.1:0"), ToEndpoint(server.engine->address()));
   server.engine->SetAddress(FormatEndpoint(server.proxy->address()));
-  server.engine->SetEventsPerStream(kEventsOfStream);
+  server.engine->SetEventsPerStream(options_.mix == FaultMix::kPlanned
+                                        ? kEventsOfLongStream
+                                        : kEventsOfStream);
   server.engine->SetEchoesCallId(true);
   servers_.push_back(std::move(server));
 }
@@ -148,6 +147,7 @@
                               " platform " + process.role + " --settings " +
                               process.settings + " >> " + process.settings +
                               ".log";
+  process.stopping = false;
   process.child = std::make_unique<ChildProcess>(
       "/bin/sh", std::vector<std::string>{"-c", command},
       process.settings + ".errors");
@@ -162,6 +162,8 @@
       return ApplyFault(entries_.at(fault.number), fault.kind, /*begins=*/true);
     case FaultTarget::kServer:
       return ApplyFault(servers_.at(fault.number), fault.kind, /*begins=*/true);
+    case FaultTarget::kFleet:
+      return ApplyFaultToAll(FaultKind::kKill, /*begins=*/true);
   }
 }
 
@@ -176,6 +178,14 @@
     case FaultTarget::kServer:
       return ApplyFault(servers_.at(fault.number), fault.kind,
                         /*begins=*/false);
+    case FaultTarget::kFleet:
+      return ApplyFaultToAll(FaultKind::kKill, /*begins=*/false);
+  }
+}
+
+void SoakFleet::ApplyFaultToAll(FaultKind kind, bool begins) {
+  for (auto* processes : {&controls_, &entries_}) {
+    for (Process& process : *processes) ApplyFault(process, kind, begins);
   }
 }
 
@@ -199,6 +209,7 @@
   const bool ends = kind == FaultKind::kKill || kind == FaultKind::kStop;
   if (ends && begins && process.child) {
     process.child->Signal(kind == FaultKind::kKill ? SIGKILL : SIGTERM);
+    process.stopping = true;
   }
   if (ends && !begins) {
     // The previous process may still be stopping; its ports must be free.
@@ -219,19 +230,27 @@
       server.engine->Crash();
       server.proxy->ResetAll();
     } else {
-      ++server.incarnation;
-      server.sequence = 0;
+      StartAnew(server);
     }
     server.down = begins;
     server.proxy->SetRefusing(begins);
   }
-  if (kind != FaultKind::kDrain) return;
-  server.draining = begins;
-  if (begins) return;
-  // Calls that have not migrated by now end with the server. A new incarnation
-  // then starts.
-  server.engine->Crash();
-  server.proxy->ResetAll();
+  if (kind != FaultKind::kDrain && kind != FaultKind::kDeregister) return;
+  if (begins) {
+    (kind == FaultKind::kDrain ? server.draining : server.deregistered) = true;
+    return;
+  }
+  if (options_.mix == FaultMix::kAll) {
+    // Calls that have not migrated by now end with the server.
+    server.engine->Crash();
+    server.proxy->ResetAll();
+  }
+  StartAnew(server);
+}
+
+void SoakFleet::StartAnew(Server& server) {
+  server.draining = false;
+  server.deregistered = false;
   ++server.incarnation;
   server.sequence = 0;
 }
@@ -256,4 +275,9 @@
       .dump();
 }
 
+std::string SoakFleet::Deregistration(Server& server) {
+  return json{{"born", server.incarnation}, {"sequence", ++server.sequence}}
+      .dump();
+}
+
 }  // namespace coltsfootfork
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -16,6 +16,9 @@
 
 // The number of events of a complete stream.
 inline constexpr int kEventsOfStream = 100;
+// The same where only planned work is injected: a stream then takes longer than
+// a stopping entry may have left.
+inline constexpr int kEventsOfLongStream = 1500;
 
 // Real processes of the system and simulated backend servers, each behind a
 // fault-injecting proxy.
@@ -31,6 +34,8 @@
     std::string address;
     // The number of active faults that pause the process.
     int pauses = 0;
+    // The process was signalled to stop.
+    bool stopping = false;
   };
   struct Server {
     std::unique_ptr<PlatformEngine> engine;
@@ -39,12 +44,18 @@
     std::uint64_t incarnation = 1;
     std::uint64_t sequence = 0;
     bool draining = false;
+    // The incarnation has deregistered and sends no more heartbeats.
+    bool deregistered = false;
     bool down = false;
   };
+  struct Options {
+    FaultMix mix = FaultMix::kAll;
+    std::size_t entries = 2;
+    // The share of disk operations of control processes that fail.
+    double disk_fault_share = 0;
+  };
 
-  // `disk_fault_share` is the share of disk operations of control processes
-  // that fail.
-  SoakFleet(boost::asio::io_context& io, double disk_fault_share);
+  SoakFleet(boost::asio::io_context& io, const Options& options);
   ~SoakFleet();
   SoakFleet(const SoakFleet&) = delete;
   SoakFleet& operator=(const SoakFleet&) = delete;
@@ -61,6 +72,9 @@
   void KeepLogs(const std::string& folder) const;
   // Returns the next heartbeat of a server as JSON.
   static std::string Heartbeat(Server& server);
+  static std::string Deregistration(Server& server);
+  // Starts a new incarnation of the server under the same id and address.
+  static void StartAnew(Server& server);
 
  private:
   // Returns an address that no other process of this run uses.
@@ -71,11 +85,12 @@
   void Launch(Process& process);
   void ApplyNetworkFault(LoopbackProxy& proxy, FaultKind kind, bool begins);
   void ApplyFault(Process& process, FaultKind kind, bool begins);
+  void ApplyFaultToAll(FaultKind kind, bool begins);
   void ApplyFault(Server& server, FaultKind kind, bool begins);
 
   boost::asio::io_context& io_;
+  Options options_;
   Fleet fleet_;
-  double disk_fault_share_;
   std::string fleet_port_;
   std::set<std::string> ports_;
   std::vector<Process> controls_;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -17,6 +17,15 @@
 constexpr milliseconds kChangeInterval{250};
 constexpr milliseconds kReadInterval{120};
 constexpr std::chrono::seconds kRequestTimeoutOfRun{3};
+constexpr milliseconds kCallerTimeout{6000};
+constexpr milliseconds kRetryInterval{100};
+// Heartbeats may be delayed by seconds.
+constexpr int kMinHeartbeatDelayMs = 200;
+constexpr int kMaxHeartbeatDelayMs = 6000;
+// The time after a restart until entries must have received all departures:
+// twice the time after which a host counts as in contact again.
+constexpr milliseconds kContactTime{6000};
+constexpr milliseconds kKilledFor{800};
 // An upper limit far above the expected time of any step; not a measured bound.
 constexpr std::chrono::seconds kRunUntilTimeout{90};
 
@@ -37,10 +46,12 @@
                        {"kv_token_bytes", 1}, {"link_mbps", 1000.0},
                        {"moves", true},       {"backups", true},
                        {"stride", 4}};
+  json verdict = Route("verdict", "streaming", "model", 2);
+  verdict["resumable"] = true;
   const json document = {
       {"version", version},
       {"routes",
-       {Route("talk", "streaming", "model", 1),
+       {Route("talk", "streaming", "model", 1), verdict,
         Route("sale", "non_idempotent", "ledger", 2),
         Route("stock", "idempotent", "ledger", 3)}},
       {"services",
@@ -54,15 +65,23 @@
 SoakRun::SoakRun(const SoakOptions& options)
     : options_(options),
       random_(options.seed),
-      fleet_(io_, options.disk_fault_share),
-      checker_(kEventsOfStream) {
-  std::vector<SoakCaller::Endpoint> entries;
+      fleet_(io_, {options.mix, options.entries, options.disk_fault_share}),
+      checker_(options.mix == FaultMix::kPlanned ? kEventsOfLongStream
+                                                 : kEventsOfStream,
+               options.mix == FaultMix::kPlanned) {
+  std::vector<SoakCaller::Entry> entries;
   for (const auto& entry : fleet_.entries()) {
-    entries.push_back(entry.proxy->address());
+    entries.push_back(
+        {entry.proxy->address(), [&entry] { return entry.stopping; }});
+  }
+  std::vector<milliseconds> timeouts = {kCallerTimeout};
+  if (options.mix == FaultMix::kPlanned) {
+    // A stopping entry has time for the shorter ones.
+    timeouts.insert(timeouts.end(), {milliseconds(400), milliseconds(1200)});
   }
   for (std::size_t i = 0; i < kCallers; ++i) {
     callers_.push_back(std::make_unique<SoakCaller>(
-        io_, "c" + std::to_string(i), entries, random_(),
+        io_, "c" + std::to_string(i), entries, timeouts, random_(),
         [this](const std::string& call, SoakKind kind,
                const ObservedResponse& observed) {
           checker_.OnResponse(call, kind, observed);
@@ -114,13 +133,58 @@
 
 void SoakRun::SendHeartbeats() {
   for (auto& server : fleet_.servers()) {
-    if (server.down) continue;
-    SendRequest(AnyControl(), "POST",
-                "/api/instances/" + server.engine->id() + "/heartbeat",
-                SoakFleet::Heartbeat(server), [](const HttpFetchResult&) {});
+    if (server.down || server.deregistered) continue;
+    SendTo(AnyControl(), server.engine->id(), "/heartbeat",
+           SoakFleet::Heartbeat(server));
   }
 }
 
+void SoakRun::SendTo(const std::string& control, const std::string& server,
+                     const std::string& suffix, const std::string& body) {
+  SendRequest(control, "POST", "/api/instances/" + server + suffix, body,
+              [](const HttpFetchResult&) {});
+}
+
+void SoakRun::After(milliseconds delay, std::function<void()> work) {
+  timers_.push_back(std::make_unique<boost::asio::steady_timer>(io_));
+  timers_.back()->expires_after(delay);
+  timers_.back()->async_wait([this, work = std::move(work)](error_code error) {
+    if (!error && !finished_) work();
+  });
+}
+
+void SoakRun::Deregister(SoakFleet::Server& server) {
+  const std::string id = server.engine->id();
+  std::uniform_int_distribution<int> delays(kMinHeartbeatDelayMs,
+                                            kMaxHeartbeatDelayMs);
+  After(milliseconds(delays(random_)),
+        [this, id, heartbeat = SoakFleet::Heartbeat(server)] {
+          SendTo(AnyControl(), id, "/heartbeat", heartbeat);
+        });
+  server.deregistered = true;
+  SendDeregistration(server, [] {});
+}
+
+void SoakRun::SendDeregistration(SoakFleet::Server& server,
+                                 std::function<void()> acknowledged) {
+  const std::uint64_t incarnation = server.incarnation;
+  SendRequest(
+      AnyControl(), "POST",
+      "/api/instances/" + server.engine->id() + "/deregister",
+      SoakFleet::Deregistration(server),
+      [this, &server, incarnation,
+       acknowledged = std::move(acknowledged)](const HttpFetchResult& result) {
+        if (result.response && result.response->status == 200) {
+          return acknowledged();
+        }
+        After(kRetryInterval, [this, &server, incarnation, acknowledged] {
+          // The next incarnation has started without an acknowledgement.
+          if (server.incarnation != incarnation) return;
+          SendDeregistration(server, acknowledged);
+        });
+      });
+}
+
 void SoakRun::ChangePlan() {
   const std::uint64_t version = ++version_;
   SendRequest(AnyControl(), "POST", "/api/config/put", Document(version),
@@ -146,19 +210,14 @@
 
 void SoakRun::NextFault() {
   if (!injecting_faults_) return;
-  const Fault fault = DrawFault(fleet_.target_counts(), random_);
+  const Fault fault = DrawFault(options_.mix, fleet_.target_counts(), random_);
   faults_.push_back(fault.ToText());
   fleet_.BeginFault(fault);
-  timers_.push_back(std::make_unique<boost::asio::steady_timer>(io_));
-  timers_.back()->expires_after(fault.duration);
-  timers_.back()->async_wait([this, fault](error_code error) {
-    if (!error && !finished_) fleet_.EndFault(fault);
-  });
-  timers_.push_back(std::make_unique<boost::asio::steady_timer>(io_));
-  timers_.back()->expires_after(DrawFaultPause(random_));
-  timers_.back()->async_wait([this](error_code error) {
-    if (!error) NextFault();
-  });
+  if (fault.kind == FaultKind::kDeregister) {
+    Deregister(fleet_.servers().at(fault.number));
+  }
+  After(fault.duration, [this, fault] { fleet_.EndFault(fault); });
+  After(DrawFaultPause(random_), [this] { NextFault(); });
 }
 
 bool SoakRun::AllReady() {
@@ -201,10 +260,71 @@
       findings_.push_back("the plan is not read at " + control.address);
     }
   }
+  if (!ServesCallers()) findings_.push_back("callers are not served again");
+}
+
+bool SoakRun::ServesCallers() {
   const std::uint64_t served = checker_.served();
-  const bool again =
-      RunUntil([&] { return checker_.served() >= served + 3 * kCallers; });
-  if (!again) findings_.push_back("callers are not served again");
+  return RunUntil([&] { return checker_.served() >= served + 3 * kCallers; });
+}
+
+void SoakRun::CheckDepartures() {
+  // One server of each service leaves.
+  std::vector<SoakFleet::Server*> leaving = {&fleet_.servers().front(),
+                                             &fleet_.servers().back()};
+  std::vector<std::string> delayed_heartbeats;
+  std::size_t acknowledged = 0;
+  for (SoakFleet::Server* server : leaving) {
+    delayed_heartbeats.push_back(SoakFleet::Heartbeat(*server));
+    server->deregistered = true;
+    SendDeregistration(*server, [&] { ++acknowledged; });
+  }
+  if (!RunUntil([&] { return acknowledged == leaving.size(); })) {
+    findings_.push_back("deregistrations are not acknowledged");
+    return;
+  }
+  Fault kill_all;
+  kill_all.kind = FaultKind::kKillAll;
+  kill_all.target = FaultTarget::kFleet;
+  const auto pass = [this](milliseconds time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    RunUntil([&] { return std::chrono::steady_clock::now() >= end; });
+  };
+  fleet_.BeginFault(kill_all);
+  pass(kKilledFor);
+  fleet_.EndFault(kill_all);
+  const auto send_delayed = [&] {
+    for (std::size_t i = 0; i < leaving.size(); ++i) {
+      for (const auto& control : fleet_.controls()) {
+        SendTo(control.address, leaving[i]->engine->id(), "/heartbeat",
+               delayed_heartbeats[i]);
+      }
+    }
+  };
+  pass(kContactTime / 2);
+  send_delayed();
+  pass(kContactTime / 2);
+  send_delayed();
+  std::vector<int> arrivals;
+  for (const auto* server : leaving) {
+    arrivals.push_back(server->engine->arrivals());
+  }
+  if (!ServesCallers()) findings_.push_back("callers are not served again");
+  for (std::size_t i = 0; i < leaving.size(); ++i) {
+    if (leaving[i]->engine->arrivals() > arrivals[i]) {
+      findings_.push_back(leaving[i]->engine->id() +
+                          " got calls after its deregistration");
+    }
+    arrivals[i] = leaving[i]->engine->arrivals();
+    SoakFleet::StartAnew(*leaving[i]);
+  }
+  const bool used = RunUntil([&] {
+    for (std::size_t i = 0; i < leaving.size(); ++i) {
+      if (leaving[i]->engine->arrivals() == arrivals[i]) return false;
+    }
+    return true;
+  });
+  if (!used) findings_.push_back("a new incarnation gets no calls");
 }
 
 const std::vector<std::string>& SoakRun::KeepLogs() {
@@ -242,6 +362,7 @@
     findings_.push_back("recovered only in " +
                         std::to_string(recovered_in_.count()) + " ms");
   }
+  if (options_.mix == FaultMix::kAll) CheckDepartures();
   for (const auto& caller : callers_) caller->Stop();
   RunUntil([this] {
     for (const auto& caller : callers_) {
@@ -253,7 +374,7 @@
   for (const auto& server : fleet_.servers()) {
     checker_.OnRuns(server.engine->runs_by_call());
   }
-  checker_.CheckRefusals();
+  checker_.CheckRuns();
   findings_.insert(findings_.end(), checker_.findings().begin(),
                    checker_.findings().end());
   return KeepLogs();
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -21,6 +21,8 @@
   std::uint64_t seed = 1;
   // The period during which faults are injected.
   std::chrono::seconds duration{10};
+  FaultMix mix = FaultMix::kAll;
+  std::size_t entries = 2;
   // The share of disk operations of control processes that fail.
   double disk_fault_share = 0.002;
   // Makes a backend server reject calls that it does run.
@@ -57,6 +59,15 @@
   void Repeat(std::chrono::milliseconds pause, std::function<void()> work);
 
   void SendHeartbeats();
+  // Deregisters the server, and repeats it until it is acknowledged. A
+  // heartbeat that the server sent before arrives some seconds later.
+  void Deregister(SoakFleet::Server& server);
+  void SendDeregistration(SoakFleet::Server& server,
+                          std::function<void()> acknowledged);
+  void SendTo(const std::string& control, const std::string& server,
+              const std::string& suffix, const std::string& body);
+  // Runs `work` once after the delay, unless the run has ended.
+  void After(std::chrono::milliseconds delay, std::function<void()> work);
   void ChangePlan();
   void ReadPlan();
   void NextFault();
@@ -64,6 +75,11 @@
   // Checks after the last fault that each entry is ready, that each control
   // process returns the newest plan, and that callers are served.
   void CheckRecovery();
+  // Checks that servers whose deregistration was acknowledged get no calls
+  // after all processes were killed, in spite of delayed heartbeats, and that
+  // their next incarnations do.
+  void CheckDepartures();
+  bool ServesCallers();
   std::string AnyControl();
   // Keeps the logs if there are findings, and returns the findings.
   const std::vector<std::string>& KeepLogs();
