--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -273,6 +273,7 @@
   std::vector<SoakFleet::Server*> leaving = {&fleet_.servers().front(),
                                              &fleet_.servers().back()};
   std::vector<std::string> delayed_heartbeats;
+  delayed_heartbeats.reserve(leaving.size());
   std::size_t acknowledged = 0;
   for (SoakFleet::Server* server : leaving) {
     delayed_heartbeats.push_back(SoakFleet::Heartbeat(*server));
@@ -306,6 +307,7 @@
   pass(kContactTime / 2);
   send_delayed();
   std::vector<int> arrivals;
+  arrivals.reserve(leaving.size());
   for (const auto* server : leaving) {
     arrivals.push_back(server->engine->arrivals());
   }
