fleet: Replicate evacuations of zones

Cause: operators' orders to evacuate a zone were not read, so they were never acknowledged. Change: control processes commit the orders in the replicated log beside the plan, pass the evacuated zones on in digests and entry updates, and read them back. Orders use compare-and-set on the revision, so that a delayed copy of an earlier order has no effect.

--- a/include/coltsfootfork/core/fleet/fleet_message.h
+++ b/include/coltsfootfork/core/fleet/fleet_message.h
@@ -13,6 +13,7 @@
 #include "coltsfootfork/core/fleet/memory_demand.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/server_load.h"
+#include "coltsfootfork/core/fleet/zone_evacuations.h"
 
 // Messages between the processes of a fleet, apart from the replication
 // protocol. A process is identified by the IP:PORT at which it listens for
@@ -50,6 +51,8 @@
   bool accepts_parts = false;
   // What some peer does not have yet of the sender's crash ledger.
   EncodedCrashes crashes;
+  // Absent if no zone was ever evacuated.
+  std::optional<EvacuatedZones> evacuated;
 };
 
 struct ReplicaPayload {
@@ -89,12 +92,27 @@
   // The new plan; empty to read the current one.
   std::string document;
   std::uint64_t version = 0;
+  // Set for an order to evacuate a zone instead of a change or a read.
+  std::optional<EvacuationOrder> evacuation;
 };
 struct RelayReply {
   std::uint64_t number = 0;
   // True if the leader committed or read the plan; false if it could not.
   bool done = false;
   PlanDocument plan;
+  // Set in the reply to an evacuation order. A leader of a version without
+  // evacuations leaves it out, and the order is not acknowledged.
+  std::optional<EvacuationOutcome> evacuation;
+};
+
+// The state machine's reply to an EvacuationOrder in the replicated log.
+struct EvacuationReply {
+  EvacuationOutcome outcome = EvacuationOutcome::kApplied;
+};
+// A snapshot of the replicated state.
+struct FleetSnapshot {
+  PlanDocument plan;
+  std::vector<ZoneEvacuation> evacuations;
 };
 
 // An entry's state, sent to the control processes to which it is subscribed.
@@ -125,6 +143,8 @@
   std::uint64_t included_report = 0;
   // See EntryReport.
   EncodedCrashes crashes;
+  // See ControlDigest.
+  std::optional<EvacuatedZones> evacuated;
 };
 
 // The server load and unmet memory demand of entries' calls, sent when they
@@ -155,7 +175,8 @@
     std::variant<Hello, ControlDigest, ReplicaPayload, DirectoryUpdate,
                  DirectoryAck, DirectorySyncRequest, PlanRequest, PlanDocument,
                  RelayRequest, RelayReply, EntryReport, EntryUpdate,
-                 UsageReport, PeerList>;
+                 UsageReport, PeerList, EvacuationOrder, EvacuationReply,
+                 FleetSnapshot>;
 
 // Returns the message type name of the FleetMessage alternative at index
 // `kind`.
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -11,6 +11,35 @@
   return ServerState::kRemoved;
 }
 
+inline EvacuationOutcome LastValue(EvacuationOutcome /*kind*/) {
+  return EvacuationOutcome::kTooManyZones;
+}
+
+template <typename A>
+void Fields(A& archive, EvacuatedZones& m) {
+  archive("revision", m.revision);
+  archive("zones", m.zones);
+}
+
+template <typename A>
+void Fields(A& archive, EvacuationOrder& m) {
+  archive("zone", m.zone);
+  archive("start", m.is_start);
+  archive("known", m.known_revision);
+}
+
+template <typename A>
+void Fields(A& archive, ZoneEvacuation& m) {
+  archive("zone", m.zone);
+  archive("evacuated", m.is_evacuated);
+  archive("revision", m.revision);
+}
+
+template <typename A>
+void Fields(A& archive, EvacuationReply& m) {
+  archive("outcome", m.outcome);
+}
+
 template <typename A>
 void Fields(A& archive, ServerRecord& m) {
   archive("id", m.id);
@@ -61,6 +90,7 @@
   archive("plan", m.plan_version);
   archive("parts", m.accepts_parts);
   archive("crashes", m.crashes);
+  archive("evacuated", m.evacuated);
 }
 
 template <typename A>
@@ -94,11 +124,18 @@
   archive("text", BytesRef{m.text});
 }
 
+template <typename A>
+void Fields(A& archive, FleetSnapshot& m) {
+  archive("plan", m.plan);
+  archive("evacuations", m.evacuations);
+}
+
 template <typename A>
 void Fields(A& archive, RelayRequest& m) {
   archive("number", m.number);
   archive("document", BytesRef{m.document});
   archive("version", m.version);
+  archive("evacuation", m.evacuation);
 }
 
 template <typename A>
@@ -106,6 +143,7 @@
   archive("number", m.number);
   archive("done", m.done);
   archive("plan", m.plan);
+  archive("evacuation", m.evacuation);
 }
 
 template <typename A>
@@ -128,6 +166,7 @@
   archive("removed", m.directory_digest.removed);
   archive("report", m.included_report);
   archive("crashes", m.crashes);
+  archive("evacuated", m.evacuated);
 }
 
 template <typename A>
--- a/src/core/fleet/fleet_message.cc
+++ b/src/core/fleet/fleet_message.cc
@@ -18,7 +18,8 @@
                   "directory_news", "directory_ack",  "directory_ask",
                   "plan_ask",       "plan_document",  "relay_request",
                   "relay_reply",    "entry_report",   "entry_update",
-                  "fleet_use",      "peer_list"};
+                  "fleet_use",      "peer_list",      "evacuation_order",
+                  "evacuation_reply", "fleet_snapshot"};
 
 template <std::size_t kIndex>
 std::optional<FleetMessage> ReadAlternative(const Json& json) {
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -44,8 +44,11 @@
                 /*reuse_addr=*/true),
       replica_timer_(io),
       peer_timer_(io),
-      plan_state_machine_(
-          [this] { InstallPlan(plan_state_machine_.document()); }),
+      state_machine_(
+          {[this] { InstallPlan(state_machine_.plan().document()); },
+           [this] {
+             InstallEvacuations(state_machine_.evacuations().Evacuated());
+           }}),
       bootstrap_(options_.self, options_.seeds, now),
       quorum_(options_.self),
       entry_queue_timer_(io),
@@ -55,7 +58,7 @@
         ReplicaHostOptions{options_.self, options_.zone, options_.data_folder,
                            options_.refuse_copies, options_.seed,
                            options_.disk_fault_share},
-        plan_state_machine_,
+        state_machine_,
         [this](const std::string& to, std::string bytes) {
           SendTo(to, ReplicaPayload{std::move(bytes)});
         },
@@ -91,6 +94,8 @@
       {"control_entries", OwnEntriesUse().entries},
       {"control_servers", directory_.entries().size()},
       {"control_plan_version", plan_.version},
+      {"control_evacuated_zones", evacuated_zones_.zones.size()},
+      {"control_evacuation_revision", evacuated_zones_.revision},
       {"control_departure_log_bytes",
        departure_log_ ? departure_log_->bytes() : 0},
       {"control_waiting_changes", pending_relays_.size()},
@@ -99,6 +104,10 @@
       {"control_changes_accepted_total", counts_.changes_accepted},
       {"control_changes_refused_total", counts_.changes_refused},
       {"control_reads_refused_total", counts_.reads_refused},
+      {"control_evacuation_orders_accepted_total",
+       counts_.evacuation_orders_accepted},
+      {"control_evacuation_orders_refused_total",
+       counts_.evacuation_orders_refused},
       {"control_leavings_unheard_total", counts_.unacknowledged_drains},
   };
   values.merge(traffic_.Values());
@@ -249,6 +258,7 @@
   }
   if (digest.plan_version > plan_.version) RequestPlan(from, now);
   crashes_.Merge(digest.crashes, now);
+  InstallEvacuations(digest.evacuated);
   peer.digest = std::move(digest);
   peer.digest_at = now;
 }
@@ -311,6 +321,7 @@
     revision = std::min(revision, peer.sent_crash_revision);
   }
   digest.crashes = crashes_.Encode(revision, now);
+  digest.evacuated = EvacuationsToSend();
   return digest;
 }
 
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -17,7 +17,7 @@
 #include "coltsfootfork/core/fleet/bootstrap_coordinator.h"
 #include "coltsfootfork/core/fleet/crash_ledger.h"
 #include "coltsfootfork/core/fleet/fleet_message.h"
-#include "coltsfootfork/core/fleet/plan_state_machine.h"
+#include "coltsfootfork/core/fleet/fleet_state_machine.h"
 #include "coltsfootfork/core/fleet/quorum_tracker.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/usage_feed.h"
@@ -52,8 +52,8 @@
 };
 
 // A control process. Maintains the directory of backend servers together with
-// its peers, holds a replica of the routing plan if it has a disk, and sends
-// both to its subscribed entries.
+// its peers, holds a replica of the routing plan and of the evacuated zones if
+// it has a disk, and sends all of them to its subscribed entries.
 //
 // The directory is kept in memory, except that draining and removed servers are
 // also stored in a DepartureLog. Draining or deregistration of a server is
@@ -81,6 +81,18 @@
   // in time.
   using GetPlanCallback = std::function<void(std::optional<PlanDocument> plan)>;
   void GetPlan(GetPlanCallback done);
+  // Orders the evacuation of a zone, or its end. Returns a number for
+  // CancelEvacuationOrder. `outcome` is nullopt if no leader committed the
+  // order in time.
+  using EvacuationCallback =
+      std::function<void(std::optional<EvacuationOutcome> outcome)>;
+  std::uint64_t OrderEvacuation(const ZoneId& zone, bool is_start,
+                                EvacuationCallback done);
+  // Stops trying to commit the order, whose sender no longer waits for it. The
+  // callback is not called.
+  void CancelEvacuationOrder(std::uint64_t number);
+  const EvacuatedZones& evacuated_zones() const { return evacuated_zones_; }
+
   // For a drain or deregistration, `acknowledged` is true once a majority of
   // the voters has it on disk, and false after a timeout. Other heartbeats are
   // acknowledged at once. `incarnation` zero deregisters the currently known
@@ -117,8 +129,10 @@
     // See Peer.
     bool full_usage_sent = false;
     std::uint64_t sent_crash_revision = 0;
-    // Number of the last report received.
+    // Number of the last report received, and of the last one that a published
+    // usage includes.
     std::uint64_t last_report = 0;
+    std::uint64_t included_report = 0;
     TotalUsage usage;
     AntiEntropyTimer anti_entropy;
     // Version that the entry reported, and version last sent to the entry.
@@ -195,10 +209,20 @@
   void ScheduleDepartureWrite(Time now);
   void WriteDepartures(Time now);
   void InstallPlan(const PlanDocument& document);
+  void InstallEvacuations(const EvacuatedZones& evacuated);
+  void InstallEvacuations(const std::optional<EvacuatedZones>& evacuated) {
+    if (evacuated) InstallEvacuations(*evacuated);
+  }
+  // Returns nullopt if no zone was ever evacuated.
+  std::optional<EvacuatedZones> EvacuationsToSend() const;
+  void HandleEvacuationAsLeader(
+      const RelayRequest& request,
+      std::function<void(const RelayReply& reply)> done);
   void SendPlanIfOutdated(Entry& entry, Time now);
   void RequestPlan(const std::string& peer, Time now);
-  void RelayToLeader(RelayRequest request,
-                     std::function<void(const RelayReply& reply)> done);
+  // Returns the number of the pending relay.
+  std::uint64_t RelayToLeader(
+      RelayRequest request, std::function<void(const RelayReply& reply)> done);
   void AttemptRelay(std::uint64_t number, Time now);
   void HandleAsLeader(const RelayRequest& request,
                       std::function<void(const RelayReply& reply)> done);
@@ -212,6 +236,7 @@
   std::vector<std::string> BootstrapVoters(Time now);
   ControlDigest Digest(Time now);
   void UpdatePeers(const TotalUsage& own, Time now);
+  EntryUpdate MakeEntryUpdate(Time now) const;
   TotalUsage OwnEntriesUse() const;
   // Sends the total usage, the state of this process and the plan to the
   // subscribed entries. `all` is the usage of the entries that report here.
@@ -226,7 +251,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer replica_timer_;
   boost::asio::steady_timer peer_timer_;
-  PlanStateMachine plan_state_machine_;
+  FleetStateMachine state_machine_;
   std::unique_ptr<ReplicaHost> replica_;
   BootstrapCoordinator bootstrap_;
   QuorumTracker quorum_;
@@ -234,6 +259,7 @@
   // What entries reported of crashed engines, here or to a peer.
   CrashLedger crashes_;
   PlanDocument plan_;
+  EvacuatedZones evacuated_zones_;
   std::map<std::string, Peer> peers_;
   // A link accepted from a peer or an entry; `entry` is set for an entry.
   struct IncomingLink {
@@ -250,6 +276,8 @@
     std::uint64_t changes_accepted = 0;
     std::uint64_t changes_refused = 0;
     std::uint64_t reads_refused = 0;
+    std::uint64_t evacuation_orders_accepted = 0;
+    std::uint64_t evacuation_orders_refused = 0;
     std::uint64_t unacknowledged_drains = 0;
   };
   Counts counts_;
--- a/src/shell/fleet/control_node_entries.cc
+++ b/src/shell/fleet/control_node_entries.cc
@@ -54,6 +54,15 @@
   return list;
 }
 
+EntryUpdate ControlNode::MakeEntryUpdate(Time now) const {
+  EntryUpdate update;
+  update.is_current = quorum_.IsCurrent(now);
+  update.plan_version = plan_.version;
+  update.directory_digest = directory_.digest();
+  update.evacuated = EvacuationsToSend();
+  return update;
+}
+
 void ControlNode::UpdateEntries(TotalUsage all, Time now) {
   for (const auto& [name, peer] : peers_) {
     if (IsLive(peer, now)) AddUsage(all, peer.usage.sum());
@@ -66,10 +75,7 @@
     next_peer_list_ = now + kPeerListInterval;
     peers.emplace(LivePeers(now));
   }
-  EntryUpdate update;
-  update.is_current = quorum_.IsCurrent(now);
-  update.plan_version = plan_.version;
-  update.directory_digest = directory_.digest();
+  EntryUpdate update = MakeEntryUpdate(now);
   for (auto& [number, incoming] : incoming_links_) {
     if (!incoming.entry) continue;
     Entry& entry = *incoming.entry;
@@ -81,7 +87,8 @@
     } else if (entry.is_primary && delta) {
       Send(*entry.link, *delta);
     }
-    update.included_report = entry.last_report;
+    entry.included_report = entry.last_report;
+    update.included_report = entry.included_report;
     update.crashes = crashes_.Encode(entry.sent_crash_revision, now);
     entry.sent_crash_revision = crashes_.revision();
     Send(*entry.link, update);
--- a/src/shell/fleet/control_node_plan.cc
+++ b/src/shell/fleet/control_node_plan.cc
@@ -76,7 +76,7 @@
                 });
 }
 
-void ControlNode::RelayToLeader(
+std::uint64_t ControlNode::RelayToLeader(
     RelayRequest request, std::function<void(const RelayReply& reply)> done) {
   const Time now = MonotonicNow();
   const std::uint64_t number = next_id_++;
@@ -84,6 +84,7 @@
   pending_relays_[number] = {std::move(request), std::move(done),
                              now + kRelayTimeout, now};
   AttemptRelay(number, now);
+  return number;
 }
 
 void ControlNode::AttemptRelay(std::uint64_t number, Time now) {
@@ -95,6 +96,10 @@
     pending_relays_.erase(found);
     return done(RelayReply());
   }
+  if (waiting.request.evacuation) {
+    // The sender still waits for the order, so it is not a delayed copy.
+    waiting.request.evacuation->known_revision = evacuated_zones_.revision;
+  }
   const std::string leader = Leader(now);
   milliseconds retry_delay = kRelayRetryInterval;
   if (leader == options_.self) {
@@ -121,7 +126,10 @@
   RelayReply reply;
   reply.number = request.number;
   if (!is_leader()) return done(reply);
-  const PlanDocument& current_plan = plan_state_machine_.document();
+  if (request.evacuation) {
+    return HandleEvacuationAsLeader(request, std::move(done));
+  }
+  const PlanDocument& current_plan = state_machine_.plan().document();
   if (request.version <= current_plan.version) {
     reply.done = true;
     // Only a read needs the document; a superseded change does not.
@@ -130,7 +138,8 @@
   }
   const PlanDocument document{request.version, request.document};
   replica_->Propose(PlanStateMachine::EncodeCommand(document),
-                    [reply, done = std::move(done)](bool committed) mutable {
+                    [reply, done = std::move(done)](
+                        bool committed, const std::string& /*reply*/) mutable {
                       reply.done = committed;
                       done(reply);
                     });
--- a/src/shell/fleet/control_subscriber.cc
+++ b/src/shell/fleet/control_subscriber.cc
@@ -220,6 +220,8 @@
     subscription.stale_since = now;
   }
   subscription.current = update.is_current;
+  // Before the entry can become ready.
+  if (update.evacuated) OnEvacuations(*update.evacuated);
   if (!update.crashes.empty() && events_.on_crashes) {
     events_.on_crashes(update.crashes);
   }
@@ -234,6 +236,12 @@
   }
 }
 
+void ControlSubscriber::OnEvacuations(const EvacuatedZones& evacuated) {
+  if (evacuated.revision <= evacuation_revision_) return;
+  evacuation_revision_ = evacuated.revision;
+  if (events_.on_evacuations) events_.on_evacuations(evacuated);
+}
+
 void ControlSubscriber::NotifyUsage(Subscription& subscription,
                                     std::uint64_t included_report) {
   while (!subscription.sent_reports.empty() &&
--- a/src/shell/fleet/control_subscriber.h
+++ b/src/shell/fleet/control_subscriber.h
@@ -35,6 +35,8 @@
 struct ControlSubscriberEvents {
   std::function<void(const PlanDocument& plan)> on_plan;
   std::function<void(const ServerDirectory& directory)> on_directory;
+  // The evacuated zones have changed. Null for an entry that ignores them.
+  std::function<void(const EvacuatedZones& evacuated)> on_evacuations;
   // Load and unmet demand of the other entries' calls, and the number of all
   // entries.
   std::function<void(FleetLoad others, FleetDemand demand,
@@ -107,6 +109,7 @@
   void Connect(std::size_t index, Time now);
   void OnFrame(std::size_t index, const std::string& frame);
   void OnUpdate(std::size_t index, const EntryUpdate& update, Time now);
+  void OnEvacuations(const EvacuatedZones& evacuated);
   // Passes the usage of the other entries to on_usage: the total less the
   // included report of this entry.
   void NotifyUsage(Subscription& subscription, std::uint64_t included_report);
@@ -141,6 +144,8 @@
   std::uint64_t next_attempt_ = 1;
   ServerDirectory directory_;
   std::uint64_t plan_version_ = 0;
+  // Revision of the evacuated zones in force.
+  std::uint64_t evacuation_revision_ = 0;
   bool synced_ = false;
   Lifetime lifetime_;
 };
--- a/src/shell/fleet/replica_host.cc
+++ b/src/shell/fleet/replica_host.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 ReplicaHost::ReplicaHost(ReplicaHostOptions options,
-                         PlanStateMachine& state_machine, Transmit transmit,
+                         StateMachine& state_machine, Transmit transmit,
                          Time now)
     : options_(std::move(options)),
       random_(options_.seed),
@@ -126,11 +126,11 @@
   inputs_.Clear();
   reopen_at_ = now + kReopenDelay;
   const auto waiting = std::exchange(pending_proposals_, {});
-  for (const auto& [proposal, done] : waiting) done(false);
+  for (const auto& [proposal, done] : waiting) done(false, {});
 }
 
 void ReplicaHost::Propose(std::string command, ProposeCallback done) {
-  if (!replica_) return done(false);
+  if (!replica_) return done(false, {});
   const ProposalId proposal = next_proposal_++;
   pending_proposals_[proposal] = std::move(done);
   inputs_.Add(coltsfootfork::Propose{proposal, std::move(command)});
@@ -177,7 +177,7 @@
   if (waiting == pending_proposals_.end()) return;
   const ProposeCallback done = std::move(waiting->second);
   pending_proposals_.erase(waiting);
-  done(effect.outcome == ProposalOutcome::kCommitted);
+  done(effect.outcome == ProposalOutcome::kCommitted, effect.reply);
 }
 
 void ReplicaHost::Execute(const LogEvent& effect) {
--- a/src/shell/fleet/replica_host.h
+++ b/src/shell/fleet/replica_host.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "coltsfootfork/core/control/control_replica.h"
-#include "coltsfootfork/core/fleet/plan_state_machine.h"
 #include "coltsfootfork/core/replication/log_entry.h"
 #include "coltsfootfork/shell/storage/disk_log.h"
 #include "shell/replica/input_queue.h"
@@ -29,7 +28,7 @@
   double disk_fault_share = 0;
 };
 
-// A replica of the plan with its data folder. If the folder cannot be opened or
+// A replica of the fleet's state with its data folder. If the folder cannot be opened or
 // written, it is reopened after a delay and the replica recovers from it, so
 // that a full or failing disk costs the group this voter only while the fault
 // lasts.
@@ -37,10 +36,12 @@
  public:
   using Transmit =
       std::function<void(const std::string& to, std::string bytes)>;
-  // Called once. If `committed` is false, the command may still be committed.
-  using ProposeCallback = std::function<void(bool committed)>;
+  // Called once. If `committed` is false, the command may still be committed;
+  // otherwise `reply` is that of the state machine.
+  using ProposeCallback =
+      std::function<void(bool committed, const std::string& reply)>;
 
-  ReplicaHost(ReplicaHostOptions options, PlanStateMachine& state_machine,
+  ReplicaHost(ReplicaHostOptions options, StateMachine& state_machine,
               Transmit transmit, Time now);
 
   // Returns true if the folder is open and holds no replica group's state.
@@ -77,7 +78,7 @@
 
   ReplicaHostOptions options_;
   std::mt19937_64 random_;
-  PlanStateMachine& state_machine_;
+  StateMachine& state_machine_;
   Transmit transmit_;
   std::unique_ptr<DiskLog> disk_;
   std::optional<RecoveredState> recovered_;
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -60,6 +60,8 @@
       {Event::kConfigurationUnconfirmed, "configuration_unconfirmed"},
       {Event::kInventoryMismatch, "inventory_mismatch"},
       {Event::kConfigurationPut, "configuration_put"},
+      {Event::kEvacuationOrdered, "evacuation_ordered"},
+      {Event::kEvacuationsInForce, "evacuations_in_force"},
       {Event::kServerAnnounced, "server_announced"},
       {Event::kServerDraining, "server_draining"},
       {Event::kOrderRefused, "order_refused"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -26,6 +26,8 @@
   kConfigurationUnconfirmed = 3003,
   kInventoryMismatch = 3004,
   kConfigurationPut = 3005,
+  kEvacuationOrdered = 3006,
+  kEvacuationsInForce = 3007,
   kServerAnnounced = 4001,
   kServerDraining = 4003,
   kOrderRefused = 4004,
