--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -6,7 +6,9 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace coltsfootfork {
@@ -56,6 +58,20 @@
   return line;
 }
 
+bool ChildProcess::IsAlive() const {
+  siginfo_t info{};
+  const int result = waitid(P_PID, static_cast<id_t>(pid_), &info,
+                            WEXITED | WNOHANG | WNOWAIT);
+  return pid_ > 0 && result == 0 && info.si_pid == 0;
+}
+
+std::size_t ChildProcess::CountDescriptors() const {
+  const std::filesystem::directory_iterator descriptors(
+      "/proc/" + std::to_string(pid_) + "/fd");
+  return static_cast<std::size_t>(
+      std::distance(begin(descriptors), end(descriptors)));
+}
+
 void ChildProcess::Signal(int signal) const { kill(pid_, signal); }
 
 int ChildProcess::Wait() {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -31,6 +32,10 @@
   // Processor time so far, in the system's clock ticks.
   double ProcessorTicks() const;
   bool running() const { return pid_ > 0; }
+  // Whether the process has not ended, by itself or by a signal.
+  bool IsAlive() const;
+  // Number of open file descriptors.
+  std::size_t CountDescriptors() const;
 
  private:
   pid_t pid_ = -1;
