net: Bound what clients can make a process hold

Cause: the reader of requests checked its limits only at the end of a head, a chunk's head or the trailer, and nothing limited the connections of a process.

--- a/include/coltsfootfork/core/types/ids.h
+++ b/include/coltsfootfork/core/types/ids.h
@@ -46,6 +46,8 @@
 using ProcessId = Id<struct ProcessTag>;
 // An availability zone, as the inventory names it.
 using ZoneId = Id<struct ZoneTag>;
+// A region: availability zones near each other.
+using RegionId = Id<struct RegionTag>;
 
 // Numbers the dispatches of one request. Frames of an older generation are
 // dropped.
--- a/src/adapters/engine_port.cc
+++ b/src/adapters/engine_port.cc
@@ -30,6 +30,10 @@
           {"findings", std::move(list)}};
 }
 
+// More than a head. Limits the framing between the parts of a body, which the
+// parser does not limit by itself.
+constexpr std::size_t kMaxBufferBytes = 64U << 10U;
+
 }  // namespace
 
 // One connection to the port. Calls are handled one after the other.
@@ -104,7 +108,7 @@
 
   std::shared_ptr<EnginePort> port_;
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxBufferBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
 };
--- a/src/adapters/http_call.h
+++ b/src/adapters/http_call.h
@@ -65,7 +65,11 @@
   void Finish(HttpCallResult end);
 
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  // More than a head. Limits the framing between the parts of a body, which
+  // the parser does not limit by itself.
+  static constexpr std::size_t kMaxBufferBytes = 64U << 10U;
+
+  boost::beast::flat_buffer buffer_{kMaxBufferBytes};
   HttpCallRequest request_;
   HttpCallLimits limits_;
   HttpCallHandlers handlers_;
--- a/src/core/fleet/fleet_message.cc
+++ b/src/core/fleet/fleet_message.cc
@@ -14,12 +14,23 @@
 
 // In the order of the alternatives of FleetMessage.
 constexpr std::array<const char*, std::variant_size_v<FleetMessage>>
-    kTypeNames = {"hello",          "control_digest", "replica",
-                  "directory_news", "directory_ack",  "directory_ask",
-                  "plan_ask",       "plan_document",  "relay_request",
-                  "relay_reply",    "entry_report",   "entry_update",
-                  "fleet_use",      "peer_list",      "evacuation_order",
-                  "evacuation_reply", "fleet_snapshot"};
+    kTypeNames = {"hello",
+                  "control_digest",
+                  "replica",
+                  "directory_news",
+                  "directory_ack",
+                  "directory_ask",
+                  "plan_ask",
+                  "plan_document",
+                  "relay_request",
+                  "relay_reply",
+                  "entry_report",
+                  "entry_update",
+                  "fleet_use",
+                  "peer_list",
+                  "evacuation_order",
+                  "evacuation_reply",
+                  "fleet_snapshot"};
 
 template <std::size_t kIndex>
 std::optional<FleetMessage> ReadAlternative(const Json& json) {
--- a/src/core/fleet/zone_evacuations.cc
+++ b/src/core/fleet/zone_evacuations.cc
@@ -6,8 +6,7 @@
 
 EvacuationOutcome ZoneEvacuations::Check(const EvacuationOrder& order) const {
   const auto found = zones_.find(order.zone);
-  const bool is_evacuated =
-      found != zones_.end() && found->second.is_evacuated;
+  const bool is_evacuated = found != zones_.end() && found->second.is_evacuated;
   if (is_evacuated == order.is_start) return EvacuationOutcome::kUnchanged;
   if (found != zones_.end()) {
     return found->second.revision > order.known_revision
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -44,11 +44,11 @@
                 /*reuse_addr=*/true),
       replica_timer_(io),
       peer_timer_(io),
-      state_machine_(
-          {[this] { InstallPlan(state_machine_.plan().document()); },
-           [this] {
-             InstallEvacuations(state_machine_.evacuations().Evacuated());
-           }}),
+      state_machine_({[this] { InstallPlan(state_machine_.plan().document()); },
+                      [this] {
+                        InstallEvacuations(
+                            state_machine_.evacuations().Evacuated());
+                      }}),
       bootstrap_(options_.self, options_.seeds, now),
       quorum_(options_.self),
       entry_queue_timer_(io),
--- a/src/shell/fleet/control_node_evacuations.cc
+++ b/src/shell/fleet/control_node_evacuations.cc
@@ -24,15 +24,15 @@
                                            EvacuationCallback done) {
   RelayRequest request;
   request.evacuation = EvacuationOrder{zone, is_start, 0};
-  return RelayToLeader(
-      std::move(request),
-      [this, done = std::move(done)](const RelayReply& reply) {
-        // A leader of an earlier version does not set the outcome.
-        const bool is_done = reply.done && reply.evacuation;
-        ++(is_done ? counts_.evacuation_orders_accepted
-                   : counts_.evacuation_orders_refused);
-        done(is_done ? reply.evacuation : std::nullopt);
-      });
+  return RelayToLeader(std::move(request),
+                       [this, done = std::move(done)](const RelayReply& reply) {
+                         // A leader of an earlier version does not set the
+                         // outcome.
+                         const bool is_done = reply.done && reply.evacuation;
+                         ++(is_done ? counts_.evacuation_orders_accepted
+                                    : counts_.evacuation_orders_refused);
+                         done(is_done ? reply.evacuation : std::nullopt);
+                       });
 }
 
 void ControlNode::CancelEvacuationOrder(std::uint64_t number) {
--- a/src/shell/fleet/replica_host.h
+++ b/src/shell/fleet/replica_host.h
@@ -28,10 +28,10 @@
   double disk_fault_share = 0;
 };
 
-// A replica of the fleet's state with its data folder. If the folder cannot be opened or
-// written, it is reopened after a delay and the replica recovers from it, so
-// that a full or failing disk costs the group this voter only while the fault
-// lasts.
+// A replica of the fleet's state with its data folder. If the folder cannot be
+// opened or written, it is reopened after a delay and the replica recovers from
+// it, so that a full or failing disk costs the group this voter only while the
+// fault lasts.
 class ReplicaHost {
  public:
   using Transmit =
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -55,6 +55,7 @@
       {Event::kLinkUp, "link_up"},
       {Event::kLinkDown, "link_down"},
       {Event::kLinkRefused, "link_refused"},
+      {Event::kConnectionsClosed, "connections_closed"},
       {Event::kConfigurationInForce, "configuration_in_force"},
       {Event::kConfigurationRefused, "configuration_refused"},
       {Event::kConfigurationUnconfirmed, "configuration_unconfirmed"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -21,6 +21,7 @@
   kLinkUp = 2001,
   kLinkDown = 2002,
   kLinkRefused = 2003,
+  kConnectionsClosed = 2004,
   kConfigurationInForce = 3001,
   kConfigurationRefused = 3002,
   kConfigurationUnconfirmed = 3003,
--- a/src/shell/net/http_client.cc
+++ b/src/shell/net/http_client.cc
@@ -19,6 +19,9 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+// More than a response's head. Limits the framing between the parts of a body,
+// which the parser does not limit by itself.
+constexpr std::size_t kMaxBufferBytes = 64U << 10U;
 
 // One request in flight. Keeps itself alive until the callback has been called.
 class Fetch : public std::enable_shared_from_this<Fetch> {
@@ -86,7 +89,7 @@
   }
 
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxBufferBytes};
   http::request<http::string_body> message_;
   http::response_parser<http::string_body> parser_;
   std::function<void(HttpFetchResult)> done_;
--- a/src/shell/net/http_server.cc
+++ b/src/shell/net/http_server.cc
@@ -3,6 +3,7 @@
 #include <boost/beast/core/string.hpp>
 #include <utility>
 
+#include "shell/net/connection_table.h"
 #include "shell/net/http_session.h"
 
 namespace coltsfootfork {
@@ -32,12 +33,16 @@
 
 HttpServer::HttpServer(boost::asio::io_context& io,
                        const boost::asio::ip::tcp::endpoint& listen,
-                       HttpLimits limits, Handler handler)
+                       HttpLimits limits, Handler handler,
+                       std::shared_ptr<ConnectionTable> connections)
     : io_(io),
       acceptor_(io, listen, /*reuse_addr=*/true),
       accept_retry_timer_(io),
       limits_(limits),
-      handler_(std::move(handler)) {
+      handler_(std::move(handler)),
+      connections_(
+          connections ? std::move(connections)
+                      : std::make_shared<ConnectionTable>(ConnectionLimits())) {
   Accept();
 }
 
--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -69,8 +69,10 @@
 struct HttpLimits {
   std::size_t header_bytes = 16U << 10U;
   std::size_t body_bytes = 1U << 20U;
-  // Maximum time to receive a whole request.
-  std::chrono::milliseconds read_timeout{30000};
+  // Maximum time to receive a request's head.
+  std::chrono::milliseconds header_timeout{30000};
+  // Maximum time to receive the rest of a request after its head.
+  std::chrono::milliseconds body_timeout{30000};
   // Maximum time that a connection may be idle before a request.
   std::chrono::milliseconds idle_timeout{30000};
   // Maximum duration of one write; after that the caller is treated as
@@ -78,6 +80,7 @@
   std::chrono::seconds write_timeout{30};
 };
 
+class ConnectionTable;
 class HttpSession;
 
 // Accepts HTTP/1.1 connections and passes each request to one handler.
@@ -86,10 +89,13 @@
   using Handler = std::function<void(HttpRequest request,
                                      std::shared_ptr<HttpExchange> exchange)>;
 
-  // Starts listening; throws boost::system::system_error on failure.
+  // Starts listening; throws boost::system::system_error on failure. The
+  // servers of a process share a table of connections, which limits them; by
+  // default the server has its own.
   HttpServer(boost::asio::io_context& io,
              const boost::asio::ip::tcp::endpoint& listen, HttpLimits limits,
-             Handler handler);
+             Handler handler,
+             std::shared_ptr<ConnectionTable> connections = nullptr);
   ~HttpServer();
 
   HttpServer(const HttpServer&) = delete;
@@ -116,6 +122,7 @@
   boost::asio::steady_timer accept_retry_timer_;
   HttpLimits limits_;
   Handler handler_;
+  std::shared_ptr<ConnectionTable> connections_;
   bool stopping_ = false;
   bool keep_alive_ = true;
   std::set<HttpSession*> sessions_;
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -1,5 +1,6 @@
 #include "shell/net/http_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -10,6 +11,8 @@
 #include <sstream>
 #include <utility>
 
+#include "shell/clock/monotonic_now.h"
+
 namespace coltsfootfork {
 namespace {
 
@@ -22,6 +25,12 @@
 // session does not read more until the response is complete. One request header
 // fits.
 constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+// Bytes of framing, such as a chunk's size with its extension or the trailer
+// fields, that may be buffered in addition to a request's head. The parser does
+// not limit them by itself.
+constexpr std::size_t kMaxFramingBytes = 8U << 10U;
+// Larger read buffers are released when the connection becomes idle.
+constexpr std::size_t kMaxIdleBufferBytes = 4U << 10U;
 
 HttpRequest ToRequest(http::request<http::string_body> message) {
   HttpRequest request;
@@ -46,6 +55,7 @@
 
 HttpSession::HttpSession(HttpServer* server, asio::ip::tcp::socket socket)
     : server_(server),
+      connections_(server->connections_),
       stream_(std::move(socket)),
       idle_timer_(stream_.get_executor()) {
   error_code ignored;
@@ -55,9 +65,22 @@
 
 HttpSession::~HttpSession() {
   if (server_ != nullptr) server_->sessions_.erase(this);
+  connections_->Remove(connection_id_);
 }
 
-void HttpSession::Start() { AwaitRequest(); }
+void HttpSession::Start() {
+  connection_id_ = connections_->Add(
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->Close();
+      },
+      MonotonicNow());
+  // The table may have closed this connection at once.
+  if (state_ != State::kClosed) AwaitRequest();
+}
+
+void HttpSession::SetPhase(ConnectionPhase phase) {
+  connections_->SetPhase(connection_id_, phase, MonotonicNow());
+}
 
 void HttpSession::CloseWhenIdle() {
   keep_alive_ = false;
@@ -75,7 +98,9 @@
   if (server_ == nullptr) return Close();
   state_ = State::kReading;
   response_complete_ = false;
+  SetPhase(ConnectionPhase::kIdle);
   if (buffer_.size() > 0) return Read();
+  if (buffer_.capacity() > kMaxIdleBufferBytes) buffer_.shrink_to_fit();
   idle_timer_.expires_after(server_->limits_.idle_timeout);
   idle_timer_.async_wait([weak = weak_from_this()](error_code error) {
     const auto self = weak.lock();
@@ -98,17 +123,50 @@
   parser_->header_limit(
       static_cast<std::uint32_t>(server_->limits_.header_bytes));
   parser_->body_limit(server_->limits_.body_bytes);
-  stream_.expires_after(server_->limits_.read_timeout);
-  http::async_read(stream_, buffer_, *parser_,
-                   [self = shared_from_this()](error_code error, std::size_t) {
-                     self->OnRead(error);
-                   });
+  parser_->eager(true);
+  reading_body_ = false;
+  buffer_.max_size(std::max(server_->limits_.header_bytes, kMaxPipelinedBytes) +
+                   kMaxFramingBytes);
+  SetPhase(ConnectionPhase::kReadingHead);
+  // The head is counted as if it had arrived, since the parser does not report
+  // its progress.
+  connections_->SetReadingBytes(connection_id_, server_->limits_.header_bytes,
+                                MonotonicNow());
+  if (state_ == State::kClosed) return;
+  stream_.expires_after(server_->limits_.header_timeout);
+  ReadSome();
 }
 
-void HttpSession::OnRead(error_code error) {
+void HttpSession::ReadSome() {
+  http::async_read_some(
+      stream_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t) {
+        self->OnReadSome(error);
+      });
+}
+
+void HttpSession::OnReadSome(error_code error) {
   if (state_ == State::kClosed || server_ == nullptr) return Close();
   if (error) return RespondToBadRequest(error);
+  if (parser_->is_done()) return OnRequest();
+  if (parser_->is_header_done()) {
+    if (!std::exchange(reading_body_, true)) {
+      SetPhase(ConnectionPhase::kReadingBody);
+      stream_.expires_after(server_->limits_.body_timeout);
+    }
+    connections_->SetReadingBytes(
+        connection_id_,
+        server_->limits_.header_bytes + parser_->get().body().size(),
+        MonotonicNow());
+    if (state_ == State::kClosed) return;
+  }
+  ReadSome();
+}
+
+void HttpSession::OnRequest() {
   stream_.expires_never();
+  SetPhase(ConnectionPhase::kResponding);
+  connections_->SetReadingBytes(connection_id_, 0, MonotonicNow());
   state_ = State::kHandling;
   keep_alive_ = keep_alive_ && parser_->keep_alive() && server_->keep_alive_;
   WatchForDisconnect();
@@ -128,6 +186,8 @@
     status = 400;
   }
   if (status == 0) return Close();
+  SetPhase(ConnectionPhase::kResponding);
+  connections_->SetReadingBytes(connection_id_, 0, MonotonicNow());
   state_ = State::kHandling;
   keep_alive_ = false;
   Respond({status,
@@ -228,6 +288,7 @@
 }
 
 void HttpSession::Queue(std::string bytes) {
+  if (response_complete_) SetPhase(ConnectionPhase::kDelivering);
   backlog_bytes_ += bytes.size();
   writes_.push_back(std::move(bytes));
   if (writes_.size() == 1) WriteNext();
@@ -269,6 +330,7 @@
 void HttpSession::Close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
+  connections_->Remove(connection_id_);
   idle_timer_.cancel();
   error_code ignored;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/shell/net/http_session.h
+++ b/src/shell/net/http_session.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "shell/net/connection_table.h"
 #include "shell/net/http_server.h"
 
 namespace coltsfootfork {
@@ -48,7 +49,11 @@
   // that idle connections use no buffer memory.
   void AwaitRequest();
   void Read();
-  void OnRead(boost::system::error_code error);
+  void ReadSome();
+  void OnReadSome(boost::system::error_code error);
+  void OnRequest();
+  // Reports what the connection is doing to the table of connections.
+  void SetPhase(ConnectionPhase phase);
   void RespondToBadRequest(boost::system::error_code error);
   void WatchForDisconnect();
   void OnReadableWhileResponding();
@@ -63,11 +68,14 @@
   void Close();
 
   HttpServer* server_;
+  std::shared_ptr<ConnectionTable> connections_;
+  ConnectionTable::ConnectionId connection_id_ = 0;
   boost::beast::tcp_stream stream_;
   boost::asio::steady_timer idle_timer_;
   bool idle_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  bool reading_body_ = false;
   State state_ = State::kReading;
   bool keep_alive_ = true;
   bool response_complete_ = false;
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -22,11 +22,13 @@
 // that their responses can be written.
 constexpr milliseconds kResponseMargin{250};
 
-HttpLimits MakeHttpLimits(const PlanLimits& limits) {
+HttpLimits MakeHttpLimits(const PlanLimits& limits,
+                          const ServingSettings& settings) {
   HttpLimits http;
   http.header_bytes = limits.header_bytes;
   http.body_bytes = limits.body_bytes;
-  http.read_timeout = limits.header_timeout;
+  http.header_timeout = limits.header_timeout;
+  http.body_timeout = settings.body_timeout;
   http.idle_timeout = limits.idle_timeout;
   return http;
 }
@@ -53,6 +55,8 @@
     : settings_(settings),
       read_plan_(std::move(read_plan)),
       gateway_(io, protocol, MakeGatewayOptions(settings), seed),
+      connections_(
+          std::make_shared<ConnectionTable>(settings.MakeConnectionLimits())),
       shutdown_timer_(io),
       process_(io, settings_path, settings, "entry",
                {[this] { BeginShutdown(); },
@@ -89,22 +93,29 @@
       });
   caller_server_ = std::make_unique<HttpServer>(
       io, ParseEndpoint(settings_.callers_listen).value(),
-      MakeHttpLimits(gateway_.limits()),
+      MakeHttpLimits(gateway_.limits(), settings_),
       [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
         gateway_.OnRequest(std::move(request), std::move(exchange));
-      });
+      },
+      connections_);
   ready_server_ = std::make_unique<HttpServer>(
       io, ParseEndpoint(settings_.ready_listen).value(), HttpLimits(),
       [this](const HttpRequest& /*request*/,
              const std::shared_ptr<HttpExchange>& exchange) {
         OnReady(exchange);
-      });
-  metrics_page_ =
-      std::make_unique<MetricsPage>(io, settings_.metrics_listen, [this] {
+      },
+      connections_);
+  metrics_page_ = std::make_unique<MetricsPage>(
+      io, settings_.metrics_listen,
+      [this] {
         gateway_.metrics().Set("log_lines_dropped",
                                process_.dropped_log_lines());
+        for (const auto& [name, value] : connections_->MetricValues()) {
+          gateway_.metrics().Set(name, value);
+        }
         return gateway_.MetricsText();
-      });
+      },
+      connections_);
 }
 
 void EntryGateway::OnPlan(const PlanDocument& document) {
@@ -123,7 +134,7 @@
        {"routes", std::to_string(plan->routes.size())},
        {"workspaces", std::to_string(plan->workspaces.size())}});
   gateway_.SetPlan(std::move(plan));
-  caller_server_->SetLimits(MakeHttpLimits(gateway_.limits()));
+  caller_server_->SetLimits(MakeHttpLimits(gateway_.limits(), settings_));
 }
 
 bool EntryGateway::IsReady() const {
--- a/src/shell/serving/entry_gateway.h
+++ b/src/shell/serving/entry_gateway.h
@@ -9,6 +9,7 @@
 #include "coltsfootfork/core/gateway/routing_plan.h"
 #include "shell/fleet/control_subscriber.h"
 #include "shell/gateway/gateway.h"
+#include "shell/net/connection_table.h"
 #include "shell/net/http_server.h"
 #include "shell/serving/metrics_page.h"
 #include "shell/serving/serving_process.h"
@@ -44,6 +45,7 @@
   PlanReader read_plan_;
   Gateway gateway_;
   std::unique_ptr<ControlSubscriber> control_subscriber_;
+  std::shared_ptr<ConnectionTable> connections_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<MetricsPage> metrics_page_;
--- a/src/shell/serving/metrics_page.h
+++ b/src/shell/serving/metrics_page.h
@@ -13,9 +13,11 @@
 class MetricsPage {
  public:
   // Listens on `listen` (IP:PORT), or not at all if `listen` is empty. `text`
-  // returns the page. Throws boost::system::system_error if listening fails.
+  // returns the page. `connections` limits the connections of the process.
+  // Throws boost::system::system_error if listening fails.
   MetricsPage(boost::asio::io_context& io, const std::string& listen,
-              std::function<std::string()> text);
+              std::function<std::string()> text,
+              std::shared_ptr<ConnectionTable> connections);
 
  private:
   std::unique_ptr<HttpServer> server_;
--- a/src/shell/serving/serving_settings.cc
+++ b/src/shell/serving/serving_settings.cc
@@ -81,6 +81,40 @@
     return value->get<bool>();
   }
 
+  std::chrono::milliseconds ReadMilliseconds(
+      const char* key, std::chrono::milliseconds default_value) {
+    // One day.
+    constexpr std::uint64_t kMaxMs = 86'400'000;
+    return std::chrono::milliseconds(ReadUnsignedInteger(
+        key, static_cast<std::uint64_t>(default_value.count()), kMaxMs));
+  }
+
+  // Returns nullopt if the key is missing. The value may have a fraction.
+  std::optional<std::size_t> ReadOptionalSize(const char* key,
+                                              std::size_t unit) {
+    if (Find(key) == nullptr) return std::nullopt;
+    return static_cast<std::size_t>(ReadNonNegativeNumber(key, 0) *
+                                    static_cast<double>(unit));
+  }
+
+  std::map<ZoneId, RegionId> ReadRegions(const char* key) {
+    std::map<ZoneId, RegionId> regions;
+    const Json* value = Find(key);
+    if (value == nullptr) return regions;
+    if (!value->is_object()) {
+      findings_.Add(JsonPointer(key), "must map zones to regions");
+      return regions;
+    }
+    for (const auto& [zone, region] : value->items()) {
+      if (region.is_string()) {
+        regions[ZoneId(zone)] = RegionId(region.get<std::string>());
+      } else {
+        findings_.Add(JsonPointer(key) + "/" + zone, "must be a text");
+      }
+    }
+    return regions;
+  }
+
   std::vector<std::string> ReadEndpointHosts(const char* key) {
     std::vector<std::string> hosts;
     const Json* value = Find(key);
@@ -138,6 +172,15 @@
   return ip + ":" + std::to_string(fleet_port);
 }
 
+ConnectionLimits ServingSettings::MakeConnectionLimits() const {
+  ConnectionLimits limits = LimitsForHost(memory_bytes, descriptors);
+  limits.max_connections =
+      max_client_connections.value_or(limits.max_connections);
+  limits.max_reading_bytes =
+      max_reading_bytes.value_or(limits.max_reading_bytes);
+  return limits;
+}
+
 std::vector<std::string> ServingSettings::SeedAddresses() const {
   std::vector<std::string> addresses;
   for (const std::string& seed : control_seeds) {
@@ -186,6 +229,18 @@
       reader.ReadBool("carry_streams", settings.migrate_streams);
   settings.backup_max_fill =
       reader.ReadNonNegativeNumber("backup_fill", settings.backup_max_fill);
+  settings.evacuation_bound =
+      reader.ReadMilliseconds("evacuate_within_ms", settings.evacuation_bound);
+  constexpr std::size_t kMebibyte = 1U << 20U;
+  settings.memory_bytes = reader.ReadOptionalSize("memory_mb", kMebibyte);
+  settings.descriptors = reader.ReadOptionalSize("max_descriptors", 1);
+  settings.max_client_connections =
+      reader.ReadOptionalSize("max_client_connections", 1);
+  settings.max_reading_bytes =
+      reader.ReadOptionalSize("max_reading_mb", kMebibyte);
+  settings.body_timeout =
+      reader.ReadSeconds("request_body_s", settings.body_timeout);
+  settings.regions = reader.ReadRegions("regions");
   settings.log_level = ReadLogLevel(
       reader.ReadString("log_level", /*required=*/false), findings);
   if (settings.fleet_port == 0) {
--- a/src/shell/serving/serving_settings.h
+++ b/src/shell/serving/serving_settings.h
@@ -2,11 +2,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "coltsfootfork/core/gateway/placement_policy.h"
+#include "coltsfootfork/core/overload/connection_limiter.h"
 #include "coltsfootfork/core/types/finding.h"
 #include "coltsfootfork/core/types/ids.h"
 #include "shell/log/event.h"
@@ -50,10 +52,24 @@
   bool migrate_streams = true;
   // See GatewayOptions.
   double backup_max_fill = 0;
+  std::chrono::milliseconds evacuation_bound{5000};
+  // Limits of the host for this process; absent ones do not restrict clients'
+  // connections.
+  std::optional<std::size_t> memory_bytes;
+  std::optional<std::size_t> descriptors;
+  // Limits for all connections of clients together, instead of those that
+  // follow from the host.
+  std::optional<std::size_t> max_client_connections;
+  std::optional<std::size_t> max_reading_bytes;
+  // Maximum time to receive a request after its head.
+  std::chrono::milliseconds body_timeout{30000};
+  // The region of each zone.
+  std::map<ZoneId, RegionId> regions;
   // For tests: fraction of disk operations that fail.
   double test_disk_fault_share = 0;
   LogLevel log_level = LogLevel::kInfo;
 
+  ConnectionLimits MakeConnectionLimits() const;
   // Addresses (IP:PORT) at which peers reach this process and the seeds.
   std::string FleetAddress() const;
   std::vector<std::string> SeedAddresses() const;
