gateway: Keep calls out of evacuated zones and in their regions

Cause: entries did not know of evacuations, and nothing read the regions that routes and workspaces allow. Change: a decision of its own says which zones' servers a call may use; it binds new calls, retries, queued calls, checkpoints and migration targets. Calls for which no server is left are refused at once.

--- a/include/coltsfootfork/core/gateway/admission.h
+++ b/include/coltsfootfork/core/gateway/admission.h
@@ -16,6 +16,11 @@
 // Retry-After while the entry shuts down: the retry goes to another entry.
 inline constexpr std::chrono::milliseconds kRetryAfterStopping{50};
 
+// Retry-After while all servers that a call may use are in evacuated zones or
+// in regions that it may not use. Operators evacuate a zone for seconds up to
+// hours, and callers should not return in a burst meanwhile.
+inline constexpr std::chrono::milliseconds kRetryAfterRestricted{1000};
+
 // Returns the fraction of an engine's usable memory that calls of `rank` may
 // fill. The rest is reserved for more urgent calls and for streams that migrate
 // from a draining engine: losing a running stream costs more than queueing a
--- a/include/coltsfootfork/core/gateway/gateway_metrics.h
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -19,6 +19,9 @@
   kNoRoute,
   kUnknownKey,
   kNoServer,
+  // All servers of the service are in evacuated zones, or in regions that the
+  // call may not use.
+  kServersRestricted,
   // This entry is shutting down.
   kStopping,
   // The call expired in the admission queue.
@@ -59,6 +62,8 @@
   kResumedFromCopy,
   // A migration attempt was refused.
   kMigrationRefused,
+  // Streams of an evacuated zone whose migration was started.
+  kEvacuationMigration,
   // The source had ended and no other migration was possible.
   kMigrationFailed,
   // Drain notices and back-off requests in server responses.
--- a/include/coltsfootfork/core/gateway/load_balancer.h
+++ b/include/coltsfootfork/core/gateway/load_balancer.h
@@ -16,6 +16,7 @@
 #include "coltsfootfork/core/gateway/placement_policy.h"
 #include "coltsfootfork/core/gateway/routing_plan.h"
 #include "coltsfootfork/core/gateway/server_rate_limiter.h"
+#include "coltsfootfork/core/gateway/zone_restrictions.h"
 #include "coltsfootfork/core/types/ids.h"
 #include "coltsfootfork/core/types/time.h"
 
@@ -23,6 +24,8 @@
 
 struct LoadBalancerOptions {
   ZoneId zone;
+  // The region of each zone; needed for calls that are restricted to regions.
+  std::map<ZoneId, RegionId> regions{};
   PlacementPolicy placement = PowerOfDChoicesPlacement{};
   // Fraction of an engine's memory that predicted peaks may fill.
   double memory_share = 0.95;
@@ -50,6 +53,10 @@
   double max_fill = 1.0;
   // Share of the free memory that this entry may use.
   HeadroomShare headroom_share;
+  // Regions in which the call may run.
+  AllowedRegions allowed_regions;
+  // Migration targets must have capacity for the call's predicted load.
+  bool requires_capacity = false;
 };
 
 struct ServerChoice {
@@ -75,6 +82,17 @@
   // Replaces the load reported by the other entries.
   void SetOtherEntriesLoad(FleetLoad others);
 
+  // Replaces the evacuated zones, whose servers get no calls.
+  void SetEvacuatedZones(const std::vector<ZoneId>& zones, Time now) {
+    zone_restrictions_.SetEvacuated(zones, now);
+  }
+  // Returns when this entry learned that the server's zone is evacuated;
+  // nullopt if it is not.
+  std::optional<Time> EvacuatedSince(const ServerId& id) const;
+  // Returns whether the service has ready servers and all are in evacuated
+  // zones or in regions that the call may not use.
+  bool IsRestrictedToNoServer(const ServerQuery& query) const;
+
   void ReserveLoad(const ServerId& id, const ServerLoad& load);
   void ReleaseLoad(const ServerId& id, const ServerLoad& load);
   // Subtracts the tokens of a call whose prefill is done.
@@ -184,7 +202,9 @@
                       Time now);
   std::vector<const Server*> Reachable(const ServerQuery& query,
                                        Time now) const;
-  static bool IsEligible(const Server& server, const ServerQuery& query);
+  static bool IsReadyFor(const Server& server, const ServerQuery& query);
+  bool IsEligible(const Server& server, const ServerQuery& query) const;
+  bool HasCapacity(const Server& server, const ServerQuery& query) const;
   double EffectiveLoad(const Server& server, const ServerQuery& query,
                        Time now) const;
   // Returns the engines of the service that started to drain recently.
@@ -208,6 +228,7 @@
   void AllocateHeadroom(Time now);
 
   LoadBalancerOptions options_;
+  ZoneRestrictions zone_restrictions_;
   std::map<ServerId, Server> servers_;
   // Number of entries that share the servers.
   std::uint32_t entry_count_ = 1;
--- a/include/coltsfootfork/core/gateway/routing_plan.h
+++ b/include/coltsfootfork/core/gateway/routing_plan.h
@@ -52,6 +52,8 @@
   // No API key is required.
   bool is_public = false;
   bool resumable = false;
+  // Regions in which calls may run; empty for all.
+  std::vector<RegionId> allowed_regions;
 
   // Returns whether a call may run more than once.
   bool IsSafeToRetry() const {
@@ -95,6 +97,8 @@
   std::vector<std::string> keys;
   // Takes precedence over the route's rank.
   std::optional<std::uint32_t> rank;
+  // Regions in which calls may run, besides those of the route; empty for all.
+  std::vector<RegionId> allowed_regions;
 };
 
 struct RoutingPlan {
--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -36,6 +36,8 @@
       return "carried_from_copy";
     case GatewayCounter::kMigrationRefused:
       return "carry_refused";
+    case GatewayCounter::kEvacuationMigration:
+      return "evacuation_migration";
     case GatewayCounter::kMigrationFailed:
       return "carry_lost";
     case GatewayCounter::kServerDrainNotice:
@@ -64,6 +66,8 @@
       return "unknown_key";
     case CallOutcome::kNoServer:
       return "no_server";
+    case CallOutcome::kServersRestricted:
+      return "servers_restricted";
     case CallOutcome::kStopping:
       return "stopping";
     case CallOutcome::kNoCapacity:
--- a/src/core/gateway/load_balancer.cc
+++ b/src/core/gateway/load_balancer.cc
@@ -71,7 +71,7 @@
 
 LoadBalancer::LoadBalancer(const LoadBalancerOptions& options,
                            std::uint64_t seed)
-    : options_(options), random_(seed) {}
+    : options_(options), zone_restrictions_(options.regions), random_(seed) {}
 
 void LoadBalancer::ApplyDirectory(const ServerDirectory& directory, Time now) {
   for (const auto& [id, entry] : directory.entries()) {
@@ -275,12 +275,34 @@
           true};
 }
 
-bool LoadBalancer::IsEligible(const Server& server, const ServerQuery& query) {
+bool LoadBalancer::IsReadyFor(const Server& server, const ServerQuery& query) {
   return server.record.state == ServerState::kReady &&
          server.record.service == query.service &&
          query.excluded.count(server.record.id) == 0;
 }
 
+bool LoadBalancer::IsEligible(const Server& server,
+                              const ServerQuery& query) const {
+  return IsReadyFor(server, query) &&
+         zone_restrictions_.Allows(server.record.zone, query.allowed_regions);
+}
+
+bool LoadBalancer::IsRestrictedToNoServer(const ServerQuery& query) const {
+  bool has_ready_server = false;
+  for (const auto& [id, server] : servers_) {
+    if (!IsReadyFor(server, query)) continue;
+    if (IsEligible(server, query)) return false;
+    has_ready_server = true;
+  }
+  return has_ready_server;
+}
+
+std::optional<Time> LoadBalancer::EvacuatedSince(const ServerId& id) const {
+  const ServerRecord* record = Find(id);
+  if (record == nullptr) return std::nullopt;
+  return zone_restrictions_.EvacuatedSince(record->zone);
+}
+
 std::vector<const LoadBalancer::Server*> LoadBalancer::Reachable(
     const ServerQuery& query, Time now) const {
   std::vector<const Server*> reachable;
@@ -303,6 +325,7 @@
   const Server* best = nullptr;
   double best_score = 0;
   for (const Server* server : Reachable(query, now)) {
+    if (query.requires_capacity && !HasCapacity(*server, query)) continue;
     const ServerId& id = server->record.id;
     const bool is_assigned = AssignedSource(server->record, draining) == source;
     const double weight = MigrationTargetWeight(*server, query, zone) *
@@ -394,10 +417,15 @@
   if (query.engine == nullptr) {
     return server.calls() < kPlainServerCallsPerSlot * server.record.slots;
   }
+  return HasCapacity(server, query) &&
+         FitsHeadroomShare(server, query, urgent_fraction);
+}
+
+bool LoadBalancer::HasCapacity(const Server& server,
+                               const ServerQuery& query) const {
   if (server.calls() >= server.record.slots) return false;
   const auto tokens = static_cast<double>(server.tokens() + query.tokens);
-  return tokens <= MemoryLimit(query) &&
-         FitsHeadroomShare(server, query, urgent_fraction);
+  return tokens <= MemoryLimit(query);
 }
 
 bool LoadBalancer::FitsHeadroomShare(const Server& server,
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -1,10 +1,12 @@
 #include "shell/gateway/gateway.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "coltsfootfork/core/gateway/migration_schedule.h"
 #include "shell/clock/monotonic_now.h"
+#include "shell/log/event.h"
 #include "shell/net/http_client.h"
 #include "shell/net/ip_address.h"
 
@@ -17,12 +19,17 @@
 // If an engine does not return its list of running calls in time, its streams
 // are migrated at once.
 constexpr std::chrono::milliseconds kRunningCallsTimeout{200};
+// Interval at which the next streams of evacuated zones start to migrate; below
+// the duration of most transfers.
+constexpr std::chrono::milliseconds kEvacuationStep{50};
 
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& io, const CallProtocol& protocol,
                  GatewayOptions options, std::uint64_t seed)
-    : context_(io, protocol, std::move(options), seed), queue_timer_(io) {}
+    : context_(io, protocol, std::move(options), seed),
+      queue_timer_(io),
+      evacuation_timer_(io) {}
 
 void Gateway::SetPlan(std::shared_ptr<const RoutingPlan> plan) {
   context_.plan = std::make_shared<const PlanIndex>(std::move(plan));
@@ -46,6 +53,50 @@
   ResumeHeldCalls(now);
 }
 
+void Gateway::SetEvacuatedZones(const EvacuatedZones& evacuated, Time now) {
+  context_.balancer.SetEvacuatedZones(evacuated.zones, now);
+  const std::set<ZoneId> before = std::exchange(
+      evacuated_zones_, {evacuated.zones.begin(), evacuated.zones.end()});
+  // A final transfer that fails resumes its stream at the source, for which
+  // there must be time left.
+  const Time until = now + context_.options.evacuation_bound * 2 / 5;
+  std::vector<std::uint64_t> streams;
+  for (const auto& [number, call] : calls_) {
+    const ServerRecord* record = context_.balancer.Find(call->server());
+    if (record == nullptr || evacuated_zones_.count(record->zone) == 0 ||
+        before.count(record->zone) != 0) {
+      continue;
+    }
+    if (call->PrepareEvacuation(until)) streams.push_back(number);
+  }
+  Log(LogLevel::kInfo, Event::kEvacuationsInForce,
+      {{"revision", std::to_string(evacuated.revision)},
+       {"zones", std::to_string(evacuated.zones.size())},
+       {"streams", std::to_string(streams.size())}});
+  evacuation_schedule_.Add(streams, until);
+  MigrateFromEvacuatedZones();
+  DispatchQueuedCalls(now);
+}
+
+void Gateway::MigrateFromEvacuatedZones() {
+  const Time now = MonotonicNow();
+  const auto migrating = static_cast<std::size_t>(std::count_if(
+      calls_.begin(), calls_.end(),
+      [](const auto& call) { return call.second->is_migrating(); }));
+  for (const std::uint64_t number : evacuation_schedule_.Next(migrating, now)) {
+    const auto call = calls_.find(number);
+    if (call == calls_.end()) continue;
+    // Copied, since the call may finish and remove itself from the map.
+    const std::shared_ptr<GatewayCall> stream = call->second;
+    stream->MigrateFromEvacuatedZone(now);
+  }
+  if (evacuation_schedule_.empty()) return;
+  evacuation_timer_.expires_after(kEvacuationStep);
+  evacuation_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) MigrateFromEvacuatedZones();
+  });
+}
+
 void Gateway::ResumeHeldCalls(Time now) {
   // Calls that still lack a plan or servers are held again, in the same order.
   const auto held = std::exchange(context_.held_calls, {});
@@ -173,6 +224,7 @@
   context_.metrics.Set("gateway_quarantined_parts",
                        context_.quarantine.Size(MonotonicNow()));
   context_.metrics.Set("gateway_entries", context_.entry_count);
+  context_.metrics.Set("gateway_evacuated_zones", evacuated_zones_.size());
   context_.metrics.Set("gateway_held_answer_bytes",
                        context_.response_buffers.bytes());
   return context_.metrics.ToText();
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -9,6 +9,8 @@
 #include <utility>
 
 #include "coltsfootfork/core/fleet/server_directory.h"
+#include "coltsfootfork/core/fleet/zone_evacuations.h"
+#include "coltsfootfork/core/gateway/evacuation_schedule.h"
 #include "coltsfootfork/core/gateway/plan_index.h"
 #include "shell/gateway/gateway_call.h"
 #include "shell/gateway/gateway_context.h"
@@ -31,6 +33,9 @@
   const PlanLimits& limits() const { return context_.plan->plan().limits; }
 
   void ApplyDirectory(const ServerDirectory& directory, Time now);
+  // Puts evacuations in force: no new call is dispatched to the zones' servers,
+  // and running streams migrate out while other engines have capacity.
+  void SetEvacuatedZones(const EvacuatedZones& evacuated, Time now);
   // Replaces the load that the other entries' calls put on the servers, and the
   // demand of their queued and expected calls.
   void SetOtherEntriesUsage(FleetLoad others, FleetDemand demand, Time now);
@@ -78,6 +83,8 @@
   // whose queueing time has expired.
   void DispatchQueuedCalls(Time now);
   void StartQueueTimer();
+  // Starts migrations out of evacuated zones as the schedule allows.
+  void MigrateFromEvacuatedZones();
   // Resumes the calls that are held while the entry lacks a plan or servers.
   void ResumeHeldCalls(Time now);
 
@@ -89,6 +96,9 @@
   // Servers that are not ready any more, and whose draining the calls have
   // handled.
   std::set<ServerId> draining_servers_;
+  std::set<ZoneId> evacuated_zones_;
+  EvacuationSchedule evacuation_schedule_;
+  boost::asio::steady_timer evacuation_timer_;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -120,11 +120,13 @@
 
 void GatewayCall::DispatchToBestServer(Time now) {
   if (RefuseIfOutlastsShutdown()) return;
-  const auto choice = context_.balancer.Pick(MakeServerQuery(now), now);
+  const ServerQuery query = MakeServerQuery(now);
+  const auto choice = context_.balancer.Pick(query, now);
   if (!choice) {
     if (attempts_ > 0 || may_have_run_) {
       return OnAttemptFailed(AttemptResult::kNeverSent, now);
     }
+    if (RefuseIfRestricted(query)) return;
     if (const auto backoff = RemainingBackoff(now)) {
       return Refuse({CallOutcome::kServersBackingOff, 503, backoff});
     }
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -46,12 +46,24 @@
   // Starts the migration after `copy_delay` if it is still pending. The source
   // stops the stream after `stop_delay` at the earliest.
   void ScheduleMigration(Duration copy_delay, Duration stop_delay);
+  // Prepares the migration out of the server's evacuated zone. Returns whether
+  // the call is a running stream that can migrate. Its final transfer starts
+  // before `until`.
+  bool PrepareEvacuation(Time until);
+  void MigrateFromEvacuatedZone(Time now);
   // Refuses the call if it waits for its dispatch and may outlast the shutdown
   // of the entry.
   void OnShutdown();
   // Responds to the caller unless the response has started.
   void EndIfUnanswered();
   const RequestId& id() const { return head_.id; }
+  // The server of the current attempt; empty if there is none.
+  ServerId server() const {
+    return attempt_ ? attempt_->plan().server : ServerId();
+  }
+  bool is_migrating() const {
+    return migration_ != nullptr || next_attempt_ != nullptr;
+  }
 
  private:
   struct Refusal {
@@ -85,12 +97,16 @@
   void ChooseBackup(AttemptPlan& plan, Time now);
   std::string WriteRequest(const AttemptPlan& plan,
                            const std::optional<MigrationSource>& source);
+  AllowedRegions RegionsOfCall() const;
   ServerQuery MakeServerQuery(Time now) const;
   // Returns the time until which a dispatched call can still be on time.
   Time OnTimeUntil() const;
   // Returns the call's rank for the headroom allocation: within a rank of the
   // plan, calls that can still be on time precede late ones.
   std::uint32_t HeadroomRank(Time now) const;
+  // Refuses the call if all servers are in evacuated zones or in regions that
+  // the call may not use. Returns whether it was refused.
+  bool RefuseIfRestricted(const ServerQuery& query);
   // Returns the time until the first server accepts calls again if all servers
   // are backing off.
   std::optional<std::chrono::milliseconds> RemainingBackoff(Time now) const;
@@ -134,6 +150,8 @@
   // stopped the stream.
   bool TryResumeFromCopy(Time now);
   void StartMigration(Time now);
+  // Returns whether a stopped stream may be resumed on the server.
+  bool MayResumeAt(const ServerId& server, Time now) const;
   void OnKvTransferFinished(const StreamMigrationResult& result, Time now);
   // Sends the call to the server that has a copy of its memory. The new attempt
   // replaces the current one when the server accepts it.
@@ -207,6 +225,9 @@
   Time earliest_stop_;
   // The engine drains, and the migration has not started yet.
   bool migration_pending_ = false;
+  // Set while the stream is to migrate only because its zone is evacuated: no
+  // transfer starts later, and only servers with capacity are targets.
+  std::optional<Time> evacuate_until_;
 
   HttpResponse response_;
   // Bytes of the response body that are reserved in the response buffer budget.
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -135,6 +135,12 @@
   return 2 * rank_ + (now >= OnTimeUntil() ? 1 : 0);
 }
 
+AllowedRegions GatewayCall::RegionsOfCall() const {
+  return CombineRegions(route_->allowed_regions,
+                        workspace_ != nullptr ? workspace_->allowed_regions
+                                              : std::vector<RegionId>());
+}
+
 ServerQuery GatewayCall::MakeServerQuery(Time now) const {
   ServerQuery query;
   query.service = service_->name;
@@ -142,6 +148,7 @@
   query.tokens = predicted_tokens_;
   query.excluded = tried_servers_;
   query.max_fill = MaxFillForRank(rank_);
+  query.allowed_regions = RegionsOfCall();
   if (query.engine == nullptr) return query;
   query.headroom_share =
       context_.headroom.ShareFor(service_->name, HeadroomRank(now),
@@ -164,8 +171,10 @@
 
 bool GatewayCall::TryDispatchQueued(Time now) {
   if (RefuseIfQuarantined(now)) return true;
-  const auto choice = context_.balancer.Pick(MakeServerQuery(now), now);
+  const ServerQuery query = MakeServerQuery(now);
+  const auto choice = context_.balancer.Pick(query, now);
   if (!choice) {
+    if (RefuseIfRestricted(query)) return true;
     // Queueing does not help while all servers are backing off.
     const auto backoff = RemainingBackoff(now);
     if (!backoff) return false;
@@ -199,11 +208,18 @@
           RetryAfterNoCapacity(caller_deadline_ - now)});
 }
 
+bool GatewayCall::RefuseIfRestricted(const ServerQuery& query) {
+  if (!context_.balancer.IsRestrictedToNoServer(query)) return false;
+  Refuse({CallOutcome::kServersRestricted, 503, kRetryAfterRestricted});
+  return true;
+}
+
 std::optional<std::chrono::milliseconds> GatewayCall::RemainingBackoff(
     Time now) const {
   // A retry may be dispatched to any server, also to those already tried.
   ServerQuery query;
   query.service = service_->name;
+  query.allowed_regions = RegionsOfCall();
   const auto backoff_end = context_.balancer.EarliestBackoffEnd(query, now);
   if (!backoff_end) return std::nullopt;
   return std::chrono::ceil<std::chrono::milliseconds>(*backoff_end - now);
--- a/src/shell/gateway/gateway_call_migration.cc
+++ b/src/shell/gateway/gateway_call_migration.cc
@@ -61,12 +61,40 @@
   if (finished_ || !attempt_ || attempt_->plan().server != server) return false;
   if (!CanMigrate() || route_->IsSafeToRetry()) return false;
   migration_pending_ = true;
+  evacuate_until_.reset();
   // Before the first event there is no stream to resume.
   if (!response_started_ || !last_event_id_) return false;
   if (TryResumeFromBackup(now)) return false;
   return true;
 }
 
+bool GatewayCall::PrepareEvacuation(Time until) {
+  // A call that is safe to retry is not worth a transfer, and before the first
+  // event there is no stream to resume.
+  if (finished_ || !CanMigrate() || route_->IsSafeToRetry()) return false;
+  if (!response_started_ || !last_event_id_ || is_migrating()) return false;
+  evacuate_until_ = until;
+  return true;
+}
+
+void GatewayCall::MigrateFromEvacuatedZone(Time now) {
+  if (finished_ || !evacuate_until_ || !CanMigrate() || is_migrating()) return;
+  context_.metrics.Count(GatewayCounter::kEvacuationMigration);
+  earliest_stop_ = now;
+  Migrate(now);
+}
+
+bool GatewayCall::MayResumeAt(const ServerId& server, Time now) const {
+  if (context_.balancer.IsBackingOff(server, now)) return false;
+  const auto evacuated_since = context_.balancer.EvacuatedSince(server);
+  if (!evacuated_since) return true;
+  // The source of a stopped stream may still be used for a while after the
+  // evacuation was acknowledged; a fifth of that time allows for the delays
+  // until this entry learned of it and until the request arrives.
+  return server == attempt_->plan().server &&
+         now < *evacuated_since + context_.options.evacuation_bound * 4 / 5;
+}
+
 void GatewayCall::ScheduleMigration(Duration copy_delay, Duration stop_delay) {
   if (finished_ || !migration_pending_) return;
   earliest_stop_ = MonotonicNow() + stop_delay;
@@ -94,7 +122,7 @@
   const bool is_available =
       backup != nullptr &&
       context_.balancer.IsServing(plan.backup, backup->incarnation) &&
-      !context_.balancer.IsBackingOff(plan.backup, now);
+      MayResumeAt(plan.backup, now);
   if (!is_available) return false;
   MigrationSource source{plan.backup_address, head_.id.value()};
   ResumeAt(plan.backup, plan.backup_address, source,
@@ -107,7 +135,7 @@
     return false;
   }
   const ServerChoice target = migration_->target();
-  if (context_.balancer.IsBackingOff(target.id, now)) return false;
+  if (!MayResumeAt(target.id, now)) return false;
   const MigrationSource source{attempt_->plan().address,
                                migration_->copy_handle()};
   migration_->Cancel();
@@ -121,9 +149,10 @@
   const bool may_transfer = service_->engine->moves && !attempt_ended_ &&
                             !migration_ &&
                             migration_attempts_ < kMaxMigrationAttempts;
-  if (!may_transfer) return;
+  if (!may_transfer || (evacuate_until_ && now >= *evacuate_until_)) return;
   ServerQuery query = MakeServerQuery(now);
   query.max_fill = 1.0;
+  query.requires_capacity = evacuate_until_.has_value();
   const ServerId& source = attempt_->plan().server;
   query.excluded.insert(source);
   const auto choice =
@@ -133,11 +162,12 @@
   migration_ = std::make_shared<StreamMigration>(
       context_, head_.id, attempt_->plan().address, *choice,
       ServerLoad{1, predicted_tokens_, 0});
-  migration_->Start(earliest_stop_, [weak = weak_from_this()](
-                                        const StreamMigrationResult& result) {
-    const auto self = weak.lock();
-    if (self) self->OnKvTransferFinished(result, MonotonicNow());
-  });
+  migration_->Start(
+      earliest_stop_, evacuate_until_,
+      [weak = weak_from_this()](const StreamMigrationResult& result) {
+        const auto self = weak.lock();
+        if (self) self->OnKvTransferFinished(result, MonotonicNow());
+      });
 }
 
 void GatewayCall::OnKvTransferFinished(const StreamMigrationResult& result,
@@ -168,8 +198,9 @@
        {"copy_ms", std::to_string(ToMilliseconds(result.copy_duration))},
        {"stop_ms", std::to_string(ToMilliseconds(result.stop_duration))}});
   const ServerId& to = result.at_source ? plan.server : target.id;
-  if (context_.balancer.IsBackingOff(to, now)) {
-    // The stream cannot be resumed on a server that is backing off.
+  if (!MayResumeAt(to, now)) {
+    // The stream cannot be resumed on a server that is backing off or in an
+    // evacuated zone.
     attempt_ended_ = true;
     return OnMigrationRefused(now);
   }
@@ -229,6 +260,7 @@
   context_.metrics.Count(counter);
   ++migrations_;
   migration_pending_ = false;
+  evacuate_until_.reset();
   // The source engine stops the call when its connection is closed.
   attempt_->Cancel();
   attempt_ = std::exchange(next_attempt_, nullptr);
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -43,6 +43,9 @@
   // uses as much memory as its stream: docs/design/carrying-over.md lists
   // benefits and costs.
   double backup_max_fill = 0;
+  // Time from the acknowledgement of an evacuation until no request may reach
+  // the zone's servers.
+  std::chrono::milliseconds evacuation_bound{5000};
 };
 
 // State that the calls of one entry share.
--- a/src/shell/gateway/stream_migration.cc
+++ b/src/shell/gateway/stream_migration.cc
@@ -25,8 +25,10 @@
       reservation_(context.balancer, target.id, load),
       stop_timer_(context.io) {}
 
-void StreamMigration::Start(Time earliest_stop, FinishedHandler on_finished) {
+void StreamMigration::Start(Time earliest_stop, std::optional<Time> latest_stop,
+                            FinishedHandler on_finished) {
   earliest_stop_ = earliest_stop;
+  latest_stop_ = latest_stop;
   on_finished_ = std::move(on_finished);
   RequestTransfer(/*is_final=*/false);
 }
@@ -59,6 +61,7 @@
 }
 
 void StreamMigration::ScheduleFinalTransfer(Time now) {
+  if (latest_stop_ && now >= *latest_stop_) return Report({});
   if (now >= earliest_stop_) return RequestTransfer(/*is_final=*/true);
   stop_timer_.expires_after(earliest_stop_ - now);
   stop_timer_.async_wait(
--- a/src/shell/gateway/stream_migration.h
+++ b/src/shell/gateway/stream_migration.h
@@ -43,8 +43,9 @@
                   const ServerChoice& target, const ServerLoad& load);
 
   // Starts the full transfer. The stream is stopped at `earliest_stop` at the
-  // earliest.
-  void Start(Time earliest_stop, FinishedHandler on_finished);
+  // earliest, and not at all after `latest_stop` if that is set.
+  void Start(Time earliest_stop, std::optional<Time> latest_stop,
+             FinishedHandler on_finished);
   // Releases the load. The result is not reported any more.
   void Cancel();
   // Whether the final transfer was requested: the end of the stream's response
@@ -73,6 +74,7 @@
   Duration copy_duration_{0};
   std::string copy_handle_;
   Time earliest_stop_;
+  std::optional<Time> latest_stop_;
   boost::asio::steady_timer stop_timer_;
 };
 
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -36,6 +36,8 @@
 GatewayOptions MakeGatewayOptions(const ServingSettings& settings) {
   GatewayOptions options;
   options.balancer.zone = settings.zone;
+  options.balancer.regions = settings.regions;
+  options.evacuation_bound = settings.evacuation_bound;
   options.budget.ratio = settings.retry_ratio;
   options.budget.window = settings.retry_window;
   options.balancer.placement = settings.placement;
@@ -68,6 +70,9 @@
   events.on_directory = [this](const ServerDirectory& directory) {
     gateway_.ApplyDirectory(directory, MonotonicNow());
   };
+  events.on_evacuations = [this](const EvacuatedZones& evacuated) {
+    gateway_.SetEvacuatedZones(evacuated, MonotonicNow());
+  };
   events.on_usage = [this](FleetLoad others, FleetDemand demand,
                            std::uint32_t entries) {
     gateway_.SetOtherEntriesUsage(std::move(others), std::move(demand),
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -42,7 +42,8 @@
 
 void GatewayFixture::Announce(const std::string& id, const std::string& address,
                               const std::string& service, ServerState state,
-                              std::uint64_t incarnation) {
+                              std::uint64_t incarnation,
+                              const std::string& zone) {
   ServerRecord record;
   record.id = ServerId(id);
   record.incarnation = incarnation;
@@ -51,16 +52,21 @@
   record.address = address;
   record.slots = 24;
   record.state = state;
+  record.zone = ZoneId(zone);
   directory.Merge(record, MonotonicNow());
   gateway.ApplyDirectory(directory, MonotonicNow());
 }
 
-void GatewayFixture::SetPlan(int timeout_ms, int latency_goal_ms) {
+void GatewayFixture::SetPlan(
+    int timeout_ms, int latency_goal_ms,
+    const std::vector<std::string>& talk_regions,
+    const std::vector<std::string>& workspace_regions) {
   const auto route = [&](const std::string& prefix, const std::string& kind,
                          const std::string& service, int attempts) {
     return Route(prefix, kind, service, attempts, timeout_ms, latency_goal_ms);
   };
   json talk = route("/talk/", "streaming", "model", 1);
+  talk["allowed_regions"] = talk_regions;
   json verdict = route("/verdict/", "streaming", "model", 2);
   verdict["resumable"] = true;
   json open = route("/open/", "idempotent", "ledger", 2);
@@ -82,7 +88,10 @@
            {"link_mbps", 24000},
            {"moves", true},
            {"backups", true}}}}}},
-      {"tenants", {{{"name", "workspace"}, {"api_keys", {"key"}}}}}};
+      {"tenants",
+       {{{"name", "workspace"},
+         {"api_keys", {"key"}},
+         {"allowed_regions", workspace_regions}}}}};
   Findings findings;
   auto plan = platform::DecodePlan(document.dump(), findings);
   BOOST_REQUIRE_MESSAGE(plan != nullptr, findings.ToText());
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "platform_calls.h"
@@ -23,12 +24,15 @@
   void Announce(const std::string& id, const std::string& address,
                 const std::string& service,
                 ServerState state = ServerState::kReady,
-                std::uint64_t incarnation = 1);
+                std::uint64_t incarnation = 1, const std::string& zone = {});
   // Sets a plan with the routes "/talk/" (streaming, one attempt), "/verdict/"
   // (resumable, two), "/sale/" (not idempotent, one), "/order/" (not
   // idempotent, two), "/stock/" (idempotent, two) and "/open/" (public), and
   // the API key "key".
-  void SetPlan(int timeout_ms = 20000, int latency_goal_ms = 0);
+  // `talk_regions` and `workspace_regions` restrict "/talk/" and the workspace.
+  void SetPlan(int timeout_ms = 20000, int latency_goal_ms = 0,
+               const std::vector<std::string>& talk_regions = {},
+               const std::vector<std::string>& workspace_regions = {});
 
   HttpRequest Request(const std::string& path, const std::string& id) const;
   HttpRequest StreamRequest(const std::string& path,
