gateway, fleet: Limit requests to cold servers, and recognize restarts after a clock step

Cause: a cold server crashes if all entries together send too many requests a second; nothing read that limit, and entries did not learn that a server had become cold again. A server that restarted under its id after its clock was set back looked like a dead incarnation. Change: each entry keeps to a share of what a cold server takes, in the limiter that it also uses for limits named by servers; becoming cold again is a change of the server's record; servers of a zone count as cold for 3 s after its evacuation.

--- a/include/coltsfootfork/core/fleet/server_directory.h
+++ b/include/coltsfootfork/core/fleet/server_directory.h
@@ -25,6 +25,9 @@
   ServerId id;
   // Start time of the incarnation in Unix milliseconds; orders incarnations.
   std::uint64_t incarnation = 0;
+  // The start time that the server reports, if it differs from `incarnation`
+  // since its clock was set back; zero otherwise. See IncarnationResolver.
+  std::uint64_t reported_incarnation = 0;
   // Increases with each heartbeat of the incarnation.
   std::uint64_t sequence = 0;
   ServiceId service;
@@ -33,7 +36,8 @@
   ZoneId zone;
   std::uint32_t slots = 1;
   ServerState state = ServerState::kReady;
-  // How much longer the server is slow after its start, as of the heartbeat.
+  // How much longer the server is slow after its start, as of the heartbeat or
+  // of the sending of the record. A server may become slow again.
   std::chrono::milliseconds warmup_remaining{0};
   // How long ago the server was removed, as of the sending of the record; zero
   // unless it is removed.
@@ -70,8 +74,9 @@
     Time last_heartbeat;
   };
 
-  // Merges a record. Returns true if the server is new or its incarnation,
-  // service, address or state changed, false for a mere heartbeat.
+  // Merges a record. Returns true if the server is new, its incarnation,
+  // service, address or state changed, or it is slow for longer than known;
+  // false for a mere heartbeat.
   bool Merge(const ServerRecord& record, Time now);
   // Marks the incarnation as draining. Returns true if its state changed.
   bool MarkDraining(const ServerId& id, std::uint64_t incarnation, Time now);
--- a/include/coltsfootfork/core/gateway/load_balancer.h
+++ b/include/coltsfootfork/core/gateway/load_balancer.h
@@ -8,10 +8,12 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/server_load.h"
+#include "coltsfootfork/core/gateway/cold_limit.h"
 #include "coltsfootfork/core/gateway/headroom_allocator.h"
 #include "coltsfootfork/core/gateway/placement_policy.h"
 #include "coltsfootfork/core/gateway/routing_plan.h"
@@ -34,6 +36,7 @@
   double other_zone_penalty = 0.1;
   // Load added to a server that is warming up and still slow.
   double warmup_penalty = 0.15;
+  ColdLimitOptions cold_limit{};
   // Initial and maximum time that an unreachable server is ejected for.
   Duration base_ejection_time = std::chrono::milliseconds(400);
   Duration max_ejection_time = std::chrono::seconds(6);
@@ -83,9 +86,9 @@
   void SetOtherEntriesLoad(FleetLoad others);
 
   // Replaces the evacuated zones, whose servers get no calls.
-  void SetEvacuatedZones(const std::vector<ZoneId>& zones, Time now) {
-    zone_restrictions_.SetEvacuated(zones, now);
-  }
+  // Those of zones that are no longer evacuated may have become cold, and are
+  // taken to be cold until a later heartbeat must have said so.
+  void SetEvacuatedZones(const std::vector<ZoneId>& zones, Time now);
   // Returns when this entry learned that the server's zone is evacuated;
   // nullopt if it is not.
   std::optional<Time> EvacuatedSince(const ServerId& id) const;
@@ -102,6 +105,14 @@
   // Ejects a server that could not be reached or timed out.
   void OnUnreachable(const ServerId& id, Time now);
 
+  // Sets the requests a second that a cold server of each service takes;
+  // services without a limit are left out.
+  void SetColdLimits(std::map<ServiceId, double> per_second, Time now);
+  // Records that the incarnation stays cold for so long. Returns true if it was
+  // not known as cold and its service limits requests to cold servers.
+  bool OnCold(const ServerId& id, std::uint64_t incarnation, Duration remaining,
+              Time now);
+
   // Sets the number of entries that share the servers. A lower number than one
   // of the last half minute is ignored: entries that a control process has lost
   // sight of still send.
@@ -167,8 +178,8 @@
     ServerRateLimiter rate_limiter;
 
     // Returns when the server accepts a call of this entry.
-    Time accepts_at() const {
-      return std::max(backoff_until, rate_limiter.next_send());
+    Time accepts_at(Time now) const {
+      return std::max(backoff_until, rate_limiter.next_send(now));
     }
     Duration ejection_time{0};
     // Moving average of failed calls, from 0 to 1.
@@ -202,6 +213,7 @@
                       Time now);
   std::vector<const Server*> Reachable(const ServerQuery& query,
                                        Time now) const;
+  void MarkCold(Server& server, Time until, Time now);
   static bool IsReadyFor(const Server& server, const ServerQuery& query);
   bool IsEligible(const Server& server, const ServerQuery& query) const;
   bool HasCapacity(const Server& server, const ServerQuery& query) const;
@@ -230,8 +242,10 @@
   LoadBalancerOptions options_;
   ZoneRestrictions zone_restrictions_;
   std::map<ServerId, Server> servers_;
-  // Number of entries that share the servers.
+  std::map<ServiceId, double> cold_per_second_;
+  // Number of entries that share the servers, and whether control has told it.
   std::uint32_t entry_count_ = 1;
+  bool is_entry_count_known_ = false;
   // Until then a lower number of entries is ignored.
   Time entry_count_until_;
   std::mt19937_64 random_;
--- a/include/coltsfootfork/core/gateway/routing_plan.h
+++ b/include/coltsfootfork/core/gateway/routing_plan.h
@@ -81,6 +81,9 @@
   std::string health_path;
   // Maximum number of connections to one server, from all callers together.
   std::uint32_t max_connections = 0;
+  // Requests a second, from all entries together, that a server takes while it
+  // is cold after its start; zero for no limit.
+  double cold_per_second = 0;
   // Set for services that run a model.
   std::optional<EngineProfile> engine;
 };
--- a/include/coltsfootfork/core/gateway/server_rate_limiter.h
+++ b/include/coltsfootfork/core/gateway/server_rate_limiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -7,9 +8,10 @@
 
 namespace coltsfootfork {
 
-// Keeps one entry within its share of the rate limit that a server names for
-// the requests of all entries together. The share is the same for all entries
-// and is not saved up, so that entries that were idle do not send at once.
+// Keeps one entry within its share of what a server takes from all entries
+// together: of the rate limit that the server names, and of the requests that
+// it takes while it is cold. The share is the same for all entries and is not
+// saved up, so that entries that were idle do not send at once.
 class ServerRateLimiter {
  public:
   // A response named `per_second`, or no limit. `sent_at` is when its request
@@ -19,13 +21,21 @@
   // Returns true if the limit changed.
   bool OnResponse(std::optional<double> per_second, Time sent_at, double phase,
                   std::uint32_t entries, Time now);
+  // The server is cold until `until` and takes one request of this entry in
+  // `interval`. `phase` is as above. Returns true if it was not known as cold.
+  bool OnCold(Duration interval, Time until, double phase, Time now);
   // Counts a request, also one that is sent before Allows.
   void OnSend(std::uint32_t entries, Time now);
 
-  bool Allows(Time now) const { return !per_second_ || now >= next_send_; }
+  bool Allows(Time now) const { return now >= next_send(now); }
   // When the next request may be sent; the epoch without a limit.
-  Time next_send() const { return per_second_ ? next_send_ : Time(); }
+  Time next_send(Time now) const {
+    const Time named = per_second_ ? next_send_ : Time();
+    const Time cold = now < cold_until_ ? cold_next_send_ : Time();
+    return std::max(named, cold);
+  }
   const std::optional<double>& per_second() const { return per_second_; }
+  bool IsCold(Time now) const { return now < cold_until_; }
 
  private:
   // Returns the time between two requests of one entry.
@@ -34,6 +44,9 @@
   std::optional<double> per_second_;
   Time named_at_;
   Time next_send_;
+  Time cold_until_;
+  Duration cold_interval_{0};
+  Time cold_next_send_;
 };
 
 }  // namespace coltsfootfork
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -44,6 +44,7 @@
 void Fields(A& archive, ServerRecord& m) {
   archive("id", m.id);
   archive("born", m.incarnation);
+  archive("reported", m.reported_incarnation);
   archive("sequence", m.sequence);
   archive("service", m.service);
   archive("address", m.address);
--- a/src/core/fleet/server_directory.cc
+++ b/src/core/fleet/server_directory.cc
@@ -34,6 +34,18 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
+// The rest of a warmup in two heartbeats differs by their delays.
+constexpr std::chrono::milliseconds kColdTolerance{300};
+
+// Returns how much longer the server is slow.
+std::chrono::milliseconds WarmupRemaining(const ServerDirectory::Entry& entry,
+                                          Time now) {
+  const Duration remaining =
+      entry.last_heartbeat + entry.record.warmup_remaining - now;
+  return std::chrono::milliseconds(
+      std::max<std::int64_t>(ToMilliseconds(remaining), 0));
+}
+
 bool DiffersBeyondHeartbeat(const ServerRecord& before,
                             const ServerRecord& after) {
   return before.incarnation != after.incarnation ||
@@ -71,6 +83,9 @@
   }
   if (!DiffersBeyondHeartbeat(known, merged)) {
     const bool is_later = merged.sequence > known.sequence;
+    const bool becomes_cold =
+        is_later && merged.warmup_remaining >
+                        WarmupRemaining(found->second, now) + kColdTolerance;
     found->second.record = merged;
     if (is_later) found->second.last_heartbeat = now;
     // A process that has restarted knows only when it read the record.
@@ -80,7 +95,7 @@
       found->second.changed_at = changed_at;
       removed_.insert({changed_at, record.id});
     }
-    return false;
+    return becomes_cold;
   }
   SupersedeAddress(merged, now);
   Store(merged, merged.state == record.state ? changed_at : now, now);
@@ -157,6 +172,7 @@
 
 ServerRecord ServerDirectory::ToRecord(const Entry& entry, Time now) {
   ServerRecord record = entry.record;
+  record.warmup_remaining = WarmupRemaining(entry, now);
   record.removed_for =
       std::chrono::milliseconds(record.state == ServerState::kRemoved
                                     ? ToMilliseconds(now - entry.changed_at)
--- a/src/core/gateway/load_balancer.cc
+++ b/src/core/gateway/load_balancer.cc
@@ -41,6 +41,10 @@
 // Longer than entries need to subscribe again after their control process was
 // lost.
 constexpr Duration kEntryCountRetention = std::chrono::seconds(30);
+// Servers send heartbeats about every 1.2 seconds. By then one sent after the
+// end of the evacuation has arrived, and this entry knows whether the server is
+// cold.
+constexpr Duration kAssumedColdAfterEvacuation = std::chrono::seconds(3);
 
 // Returns a hash of the pair, uniform in (0, 1).
 double UniformHash(const std::string& a, const std::string& b) {
@@ -88,6 +92,9 @@
       server.draining_since = now;
     }
     server.record = entry.record;
+    const Time cold_until =
+        entry.last_heartbeat + entry.record.warmup_remaining;
+    if (cold_until > now) MarkCold(server, cold_until, now);
   }
   for (auto server = servers_.begin(); server != servers_.end();) {
     const bool known = directory.Find(server->first) != nullptr;
@@ -99,6 +106,53 @@
   }
 }
 
+void LoadBalancer::SetColdLimits(std::map<ServiceId, double> per_second,
+                                 Time now) {
+  cold_per_second_ = std::move(per_second);
+  for (auto& [id, server] : servers_) {
+    if (now < server.warmup_until) MarkCold(server, server.warmup_until, now);
+  }
+}
+
+void LoadBalancer::MarkCold(Server& server, Time until, Time now) {
+  const auto limit = cold_per_second_.find(server.record.service);
+  if (limit == cold_per_second_.end()) return;
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const auto entries =
+      is_entry_count_known_ ? std::optional(entry_count_) : std::nullopt;
+  server.warmup_until = std::max(server.warmup_until, until);
+  server.rate_limiter.OnCold(
+      ColdInterval(limit->second, options_.cold_limit, entries), until,
+      uniform(random_), now);
+}
+
+bool LoadBalancer::OnCold(const ServerId& id, std::uint64_t incarnation,
+                          Duration remaining, Time now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() ||
+      found->second.record.incarnation != incarnation) {
+    return false;
+  }
+  Server& server = found->second;
+  const bool was_cold = server.rate_limiter.IsCold(now);
+  MarkCold(server, now + remaining, now);
+  return !was_cold && server.rate_limiter.IsCold(now);
+}
+
+void LoadBalancer::SetEvacuatedZones(const std::vector<ZoneId>& zones,
+                                     Time now) {
+  for (auto& [id, server] : servers_) {
+    const bool was_evacuated =
+        zone_restrictions_.EvacuatedSince(server.record.zone).has_value();
+    const bool is_evacuated = std::find(zones.begin(), zones.end(),
+                                        server.record.zone) != zones.end();
+    if (was_evacuated && !is_evacuated) {
+      MarkCold(server, now + kAssumedColdAfterEvacuation, now);
+    }
+  }
+  zone_restrictions_.SetEvacuated(zones, now);
+}
+
 void LoadBalancer::SetOtherEntriesLoad(FleetLoad others) {
   for (auto& [id, server] : servers_) {
     const auto found = others.find(id);
@@ -168,6 +222,7 @@
 void LoadBalancer::SetEntryCount(std::uint32_t count, Time now) {
   if (count < entry_count_ && now < entry_count_until_) return;
   entry_count_ = count;
+  is_entry_count_known_ = true;
   entry_count_until_ = now + kEntryCountRetention;
 }
 
@@ -200,8 +255,9 @@
   std::optional<Time> first;
   for (const auto& [id, server] : servers_) {
     if (!IsEligible(server, query)) continue;
-    if (now >= server.accepts_at()) return std::nullopt;
-    first = std::min(first.value_or(server.accepts_at()), server.accepts_at());
+    if (now >= server.accepts_at(now)) return std::nullopt;
+    first = std::min(first.value_or(server.accepts_at(now)),
+                     server.accepts_at(now));
   }
   return first;
 }
@@ -308,7 +364,7 @@
   std::vector<const Server*> reachable;
   std::vector<const Server*> ejected;
   for (const auto& [id, server] : servers_) {
-    if (!IsEligible(server, query) || now < server.accepts_at()) continue;
+    if (!IsEligible(server, query) || now < server.accepts_at(now)) continue;
     (now >= server.ejected_until ? reachable : ejected).push_back(&server);
   }
   // An ejected server is better than none.
--- a/src/core/gateway/server_rate_limiter.cc
+++ b/src/core/gateway/server_rate_limiter.cc
@@ -42,7 +42,21 @@
   return true;
 }
 
+bool ServerRateLimiter::OnCold(Duration interval, Time until, double phase,
+                               Time now) {
+  const bool was_cold = IsCold(now);
+  cold_until_ = std::max(cold_until_, until);
+  cold_interval_ = interval;
+  if (was_cold || !IsCold(now)) return false;
+  cold_next_send_ =
+      now + std::chrono::duration_cast<Duration>(interval * phase);
+  return true;
+}
+
 void ServerRateLimiter::OnSend(std::uint32_t entries, Time now) {
+  if (IsCold(now)) {
+    cold_next_send_ = std::max(cold_next_send_, now) + cold_interval_;
+  }
   if (!per_second_) return;
   next_send_ = std::max(next_send_, now) + Interval(entries);
 }
--- a/src/shell/fleet/control_node.h
+++ b/src/shell/fleet/control_node.h
@@ -18,6 +18,7 @@
 #include "coltsfootfork/core/fleet/crash_ledger.h"
 #include "coltsfootfork/core/fleet/fleet_message.h"
 #include "coltsfootfork/core/fleet/fleet_state_machine.h"
+#include "coltsfootfork/core/fleet/incarnation_resolver.h"
 #include "coltsfootfork/core/fleet/quorum_tracker.h"
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "coltsfootfork/core/fleet/usage_feed.h"
@@ -98,7 +99,7 @@
   // acknowledged at once. `incarnation` zero deregisters the currently known
   // incarnation; it is not acknowledged for an unknown server.
   using AckCallback = std::function<void(bool acknowledged)>;
-  void OnHeartbeat(const ServerRecord& record, AckCallback done);
+  void OnHeartbeat(const ServerRecord& reported, AckCallback done);
   void OnDeregister(const ServerId& id, std::uint64_t incarnation,
                     AckCallback done);
 
@@ -256,6 +257,7 @@
   BootstrapCoordinator bootstrap_;
   QuorumTracker quorum_;
   ServerDirectory directory_;
+  IncarnationResolver incarnations_;
   // What entries reported of crashed engines, here or to a peer.
   CrashLedger crashes_;
   PlanDocument plan_;
--- a/src/shell/fleet/control_node_directory.cc
+++ b/src/shell/fleet/control_node_directory.cc
@@ -19,25 +19,37 @@
 
 }  // namespace
 
-void ControlNode::OnHeartbeat(const ServerRecord& record, AckCallback done) {
+void ControlNode::OnHeartbeat(const ServerRecord& reported, AckCallback done) {
   const Time now = MonotonicNow();
   ++counts_.heartbeats;
+  const ServerDirectory::Entry* known = directory_.Find(reported.id);
+  const ServerRecord record = incarnations_.Resolve(
+      reported, known == nullptr ? nullptr : &known->record, now);
+  const bool is_new = known == nullptr ||
+                      known->record.incarnation != record.incarnation ||
+                      known->record.address != record.address;
   const bool changed = directory_.Merge(record, now);
   const ServerDirectory::Entry* entry = directory_.Find(record.id);
   const bool is_draining = entry != nullptr &&
                            entry->record.state != ServerState::kReady &&
                            record.state != ServerState::kReady;
   if (changed) {
+    const Event ready_event =
+        is_new ? Event::kServerAnnounced : Event::kServerCold;
     Log(LogLevel::kInfo,
-        record.state == ServerState::kReady ? Event::kServerAnnounced
+        record.state == ServerState::kReady ? ready_event
                                             : Event::kServerDraining,
         {{"server", record.id.value()},
          {"service", record.service.value()},
          {"address", record.address},
          {"born", std::to_string(record.incarnation)},
-         {"sequence", std::to_string(record.sequence)}});
+         {"sequence", std::to_string(record.sequence)},
+         {"cold_ms", std::to_string(record.warmup_remaining.count())}});
     QueueForEntries({entry->record});
   }
+  // A drain that does not apply to the known incarnation must not be
+  // acknowledged: the server may have restarted after its clock was set back.
+  if (record.state != ServerState::kReady && !is_draining) return done(false);
   // Only a drain must be acknowledged by a majority; a ready server need not.
   if (!is_draining) {
     if (changed) BroadcastRecords({entry->record}, nullptr, now);
@@ -52,7 +64,12 @@
   // A record without an incarnation would not prevent a delayed heartbeat from
   // restoring the server.
   if (incarnation == 0 && directory_.Find(id) == nullptr) return done(false);
-  const bool changed = directory_.MarkRemoved(id, incarnation, now);
+  const ServerDirectory::Entry* known = directory_.Find(id);
+  const bool changed = directory_.MarkRemoved(
+      id,
+      IncarnationResolver::KnownIncarnation(
+          incarnation, known == nullptr ? nullptr : &known->record),
+      now);
   const ServerRecord record = directory_.Find(id)->record;
   if (changed) {
     Log(LogLevel::kInfo, Event::kServerDraining,
--- a/src/shell/gateway/backend_attempt.cc
+++ b/src/shell/gateway/backend_attempt.cc
@@ -85,6 +85,10 @@
                                          now + *facts.requested_backoff);
   }
   ProcessRateLimit(facts, now);
+  if (facts.cold_remaining) {
+    context_.balancer.OnCold(plan_.server, plan_.incarnation,
+                             *facts.cold_remaining, now);
+  }
   const bool is_new_drain_notice =
       facts.is_draining && context_.on_drain_notice &&
       context_.balancer.IsServing(plan_.server, plan_.incarnation);
--- a/src/shell/gateway/call_protocol.h
+++ b/src/shell/gateway/call_protocol.h
@@ -72,6 +72,8 @@
   // Requests per second that the server accepts from all entries together;
   // nullopt if it names no limit.
   std::optional<double> rate_limit;
+  // How much longer the server is cold; nullopt if it does not say.
+  std::optional<std::chrono::milliseconds> cold_remaining;
 };
 
 // Request to a server to copy the memory of a running call to another server.
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -32,8 +32,16 @@
       evacuation_timer_(io) {}
 
 void Gateway::SetPlan(std::shared_ptr<const RoutingPlan> plan) {
+  std::map<ServiceId, double> cold_limits;
+  for (const PlanService& service : plan->services) {
+    if (service.cold_per_second > 0) {
+      cold_limits[service.name] = service.cold_per_second;
+    }
+  }
+  const Time now = MonotonicNow();
+  context_.balancer.SetColdLimits(std::move(cold_limits), now);
   context_.plan = std::make_shared<const PlanIndex>(std::move(plan));
-  ResumeHeldCalls(MonotonicNow());
+  ResumeHeldCalls(now);
 }
 
 void Gateway::ApplyDirectory(const ServerDirectory& directory, Time now) {
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -72,6 +72,7 @@
       {Event::kServerRateLimit, "server_rate_limit"},
       {Event::kServerCrashedAtStart, "server_crashed_at_start"},
       {Event::kDeparturesRecovered, "departures_recovered"},
+      {Event::kServerCold, "server_cold"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestIncomplete, "request_incomplete"},
       {Event::kCallEnded, "call_ended"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -38,6 +38,7 @@
   kServerRateLimit = 4008,
   kServerCrashedAtStart = 4009,
   kDeparturesRecovered = 4010,
+  kServerCold = 4011,
   kRequestRefused = 5001,
   kRequestIncomplete = 5002,
   kCallEnded = 5003,
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -38,6 +38,7 @@
   options.balancer.zone = settings.zone;
   options.balancer.regions = settings.regions;
   options.evacuation_bound = settings.evacuation_bound;
+  options.balancer.cold_limit = {settings.cold_overage, settings.cold_slack};
   options.budget.ratio = settings.retry_ratio;
   options.budget.window = settings.retry_window;
   options.balancer.placement = settings.placement;
--- a/src/shell/serving/serving_settings.cc
+++ b/src/shell/serving/serving_settings.cc
@@ -231,6 +231,10 @@
       reader.ReadNonNegativeNumber("backup_fill", settings.backup_max_fill);
   settings.evacuation_bound =
       reader.ReadMilliseconds("evacuate_within_ms", settings.evacuation_bound);
+  settings.cold_overage =
+      reader.ReadNonNegativeNumber("cold_overage", settings.cold_overage);
+  settings.cold_slack =
+      reader.ReadNonNegativeNumber("cold_slack", settings.cold_slack);
   constexpr std::size_t kMebibyte = 1U << 20U;
   settings.memory_bytes = reader.ReadOptionalSize("memory_mb", kMebibyte);
   settings.descriptors = reader.ReadOptionalSize("max_descriptors", 1);
--- a/src/shell/serving/serving_settings.h
+++ b/src/shell/serving/serving_settings.h
@@ -53,6 +53,9 @@
   // See GatewayOptions.
   double backup_max_fill = 0;
   std::chrono::milliseconds evacuation_bound{5000};
+  // See ColdLimitOptions.
+  double cold_overage = 1;
+  double cold_slack = 0;
   // Limits of the host for this process; absent ones do not restrict clients'
   // connections.
   std::optional<std::size_t> memory_bytes;
--- a/tests/core/fleet/server_directory_test.cc
+++ b/tests/core/fleet/server_directory_test.cc
@@ -33,6 +33,28 @@
   BOOST_TEST(!directory.Merge(Record("a", 1, 2), kNow));
 }
 
+// Entries are told of changes only, and must learn that a server has become
+// cold again.
+BOOST_AUTO_TEST_CASE(ServerThatBecomesColdAgainIsAChange) {
+  ServerDirectory directory;
+  ServerRecord record = Record("a", 1, 1);
+  record.warmup_remaining = std::chrono::milliseconds(1000);
+  directory.Merge(record, kNow);
+  // The same warmup, as of a later heartbeat.
+  record.sequence = 2;
+  record.warmup_remaining = std::chrono::milliseconds(400);
+  BOOST_TEST(!directory.Merge(record, kNow + std::chrono::milliseconds(600)));
+  record.sequence = 3;
+  record.warmup_remaining = std::chrono::milliseconds(900);
+  const Time later = kNow + std::chrono::milliseconds(1800);
+  BOOST_TEST(directory.Merge(record, later));
+  // A record that is sent on names what is left of the warmup by then.
+  const auto records =
+      directory.Records(later + std::chrono::milliseconds(700));
+  BOOST_REQUIRE(records.size() == 1U);
+  BOOST_TEST(records[0].warmup_remaining.count() == 200);
+}
+
 BOOST_AUTO_TEST_CASE(HeartbeatDoesNotRevertDraining) {
   ServerDirectory directory;
   directory.Merge(Record("a", 1, 1), kNow);
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -43,7 +43,8 @@
 void GatewayFixture::Announce(const std::string& id, const std::string& address,
                               const std::string& service, ServerState state,
                               std::uint64_t incarnation,
-                              const std::string& zone) {
+                              const std::string& zone,
+                              std::chrono::milliseconds cold_for) {
   ServerRecord record;
   record.id = ServerId(id);
   record.incarnation = incarnation;
@@ -53,6 +54,7 @@
   record.slots = 24;
   record.state = state;
   record.zone = ZoneId(zone);
+  record.warmup_remaining = cold_for;
   directory.Merge(record, MonotonicNow());
   gateway.ApplyDirectory(directory, MonotonicNow());
 }
@@ -81,6 +83,7 @@
        {{{"name", "ledger"}, {"max_conns", 100}},
         {{"name", "model"},
          {"max_conns", 100},
+         {"cold_per_s", cold_per_second},
          {"engine",
           {{"slots", 24},
            {"kv_capacity_tokens", 30000},
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,7 +25,8 @@
   void Announce(const std::string& id, const std::string& address,
                 const std::string& service,
                 ServerState state = ServerState::kReady,
-                std::uint64_t incarnation = 1, const std::string& zone = {});
+                std::uint64_t incarnation = 1, const std::string& zone = {},
+                std::chrono::milliseconds cold_for = {});
   // Sets a plan with the routes "/talk/" (streaming, one attempt), "/verdict/"
   // (resumable, two), "/sale/" (not idempotent, one), "/order/" (not
   // idempotent, two), "/stock/" (idempotent, two) and "/open/" (public), and
@@ -44,6 +46,9 @@
   std::shared_ptr<std::optional<HttpFetchResult>> Start(
       const HttpRequest& request);
 
+  // Requests a second that cold servers of "model" take, for the next SetPlan;
+  // zero for no limit.
+  double cold_per_second = 0;
   boost::asio::io_context io{1};
   platform::PlatformCalls protocol;
   ServerDirectory directory;
