--- a/tests/platform/processes_fixture.h
+++ b/tests/platform/processes_fixture.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -42,13 +43,23 @@
     settings["metrics_listen"] = control_metrics_address;
     settings["data_folder"] = fleet.folder() + "/data";
     settings["is_first_start"] = is_first_start;
-    Start("control", settings, control);
+    control_settings = settings;
+    StartControl();
     settings = shared;
     settings["process"] = "entry-1";
     settings["callers_listen"] = callers_address;
     settings["ready_listen"] = ready_address;
     settings["metrics_listen"] = metrics_address;
-    Start("entry", settings, entry);
+    entry_settings = settings;
+    StartEntry();
+  }
+
+  // Also restart a process that was killed, with its disk.
+  void StartControl() { Start("control", control_settings, control); }
+  void StartEntry() { Start("entry", entry_settings, entry); }
+  void Kill(std::unique_ptr<ChildProcess>& process) const {
+    process->Signal(SIGKILL);
+    process->Wait();
   }
 
   void Start(const std::string& role, const json& settings,
@@ -97,6 +108,9 @@
                       {{{"name", "s"}, {"max_conns", 10}},
                        {{"name", "m"}, {"max_conns", 10}}}}};
     if (!plan_limits.is_null()) document["limits"] = plan_limits;
+    if (cold_per_second > 0) {
+      document["services"][0]["cold_per_s"] = cold_per_second;
+    }
     Fleet::Await("the plan is accepted", [&] {
       return Call(control_address, "POST", "/api/config/put", document.dump())
                  .status == 200;
@@ -109,9 +123,11 @@
 
   void Announce(const std::string& service, const std::string& id,
                 const std::string& address) {
-    const json heartbeat = {{"service", service}, {"address", address},
-                            {"state", "ready"},   {"sequence", ++sequence},
-                            {"born", 1000},       {"slots", 4}};
+    json heartbeat = {{"service", service}, {"address", address},
+                      {"state", "ready"},   {"sequence", ++sequence},
+                      {"born", 1000},       {"slots", 4}};
+    heartbeat["zone"] = server_zone;
+    heartbeat["cold_left_ms"] = cold_left_ms;
     Fleet::Await("the server is registered", [&] {
       return Call(control_address, "POST",
                   "/api/instances/" + id + "/heartbeat", heartbeat.dump())
@@ -142,6 +158,13 @@
   PlatformEngine engine;
   PlatformEngine model;
   json plan_limits;
+  // Of the servers that are announced next.
+  std::string server_zone = "z";
+  int cold_left_ms = 0;
+  // Requests a second that cold servers of service "s" take; zero for no limit.
+  double cold_per_second = 0;
+  json control_settings;
+  json entry_settings;
   int sequence = 0;
   std::string fleet_address = Fleet::UnusedAddress();
   std::string control_address = Fleet::UnusedAddress();
