tests: Show that a drain of an unknown incarnation is not acknowledged

Cause: such a drain was acknowledged without effect, and the server went on to get calls. Change: a test with three control processes.

--- a/tests/platform/departures_test.cc
+++ b/tests/platform/departures_test.cc
@@ -83,5 +83,17 @@
   BOOST_CHECK(group.StateOf(0, "i-1") == ServerState::kRemoved);
 }
 
+// The server may have restarted after its clock was set back, and the known
+// incarnation would go on to get calls.
+BOOST_AUTO_TEST_CASE(DrainOfUnknownEarlierIncarnationIsNotAcknowledged) {
+  ControlGroup group(3, 3);
+  group.PutUntilAccepted(0, 5);
+  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready", /*incarnation=*/5000) ==
+             200);
+  BOOST_TEST(group.Heartbeat(0, "i-1", 7, "draining", /*incarnation=*/3000) ==
+             503);
+  BOOST_CHECK(group.StateOf(0, "i-1") == ServerState::kReady);
+}
+
 }  // namespace
 }  // namespace coltsfootfork::platform
