--- a/src/core/control_state/field_archive.h
+++ b/src/core/control_state/field_archive.h
@@ -106,6 +106,15 @@
   void operator()(const char* name, T&& value) {
     object_[name] = WriteField(value);
   }
+  // Leaves out a field that has its default, to save bytes in messages that are
+  // sent often.
+  template <typename T>
+  void OmitDefault(const char* name, std::optional<T>& value) {
+    if (value) operator()(name, value);
+  }
+  void OmitDefault(const char* name, std::uint64_t& value) {
+    if (value != 0) operator()(name, value);
+  }
 
  private:
   nlohmann::json& object_;
@@ -122,6 +131,10 @@
     const auto found = object_.find(name);
     if (found != object_.end() && !ReadField(*found, value)) ok_ = false;
   }
+  template <typename T>
+  void OmitDefault(const char* name, T& value) {
+    operator()(name, value);
+  }
   bool ok() const { return ok_; }
 
  private:
--- a/src/core/fleet/fleet_fields.h
+++ b/src/core/fleet/fleet_fields.h
@@ -44,7 +44,7 @@
 void Fields(A& archive, ServerRecord& m) {
   archive("id", m.id);
   archive("born", m.incarnation);
-  archive("reported", m.reported_incarnation);
+  archive.OmitDefault("reported", m.reported_incarnation);
   archive("sequence", m.sequence);
   archive("service", m.service);
   archive("address", m.address);
@@ -91,7 +91,7 @@
   archive("plan", m.plan_version);
   archive("parts", m.accepts_parts);
   archive("crashes", m.crashes);
-  archive("evacuated", m.evacuated);
+  archive.OmitDefault("evacuated", m.evacuated);
 }
 
 template <typename A>
@@ -136,7 +136,7 @@
   archive("number", m.number);
   archive("document", BytesRef{m.document});
   archive("version", m.version);
-  archive("evacuation", m.evacuation);
+  archive.OmitDefault("evacuation", m.evacuation);
 }
 
 template <typename A>
@@ -144,7 +144,7 @@
   archive("number", m.number);
   archive("done", m.done);
   archive("plan", m.plan);
-  archive("evacuation", m.evacuation);
+  archive.OmitDefault("evacuation", m.evacuation);
 }
 
 template <typename A>
@@ -167,7 +167,7 @@
   archive("removed", m.directory_digest.removed);
   archive("report", m.included_report);
   archive("crashes", m.crashes);
-  archive("evacuated", m.evacuated);
+  archive.OmitDefault("evacuated", m.evacuated);
 }
 
 template <typename A>
