gateway, overload: Count all bytes held for calls, and pause streams of slow callers

Cause: A stream was ended at 512 KiB of unread bytes, whatever the others held. Complete responses that were being written were not counted, and the serialized copy of a request stayed in its server connection after it had been written. Nothing refused calls for lack of memory.

Change: HeldBytesBudget counts request, response and delivery bytes against a quarter of the host's memory (64 MiB if it is not known). Calls that do not fit are refused as not run (no_memory). StreamPacer stops reading a stream whose backlog exceeds an eighth of what is free, until the backlog has halved; after 1.5 s the stream is read on if it fits by then, or ended (slow_caller). The connection of such a caller is closed and its backlog discarded. The request's copy is counted and released when it is written.

--- a/include/coltsfootfork/core/gateway/admission.h
+++ b/include/coltsfootfork/core/gateway/admission.h
@@ -16,6 +16,10 @@
 // Retry-After while the entry shuts down: the retry goes to another entry.
 inline constexpr std::chrono::milliseconds kRetryAfterStopping{50};
 
+// Retry-After while the request does not fit into the entry's memory. A backlog
+// of slow callers lasts about that long before it is read or they are ended.
+inline constexpr std::chrono::milliseconds kRetryAfterNoMemory{1000};
+
 // Retry-After while all servers that a call may use are in evacuated zones or
 // in regions that it may not use. Operators evacuate a zone for seconds up to
 // hours, and callers should not return in a burst meanwhile.
--- a/include/coltsfootfork/core/gateway/gateway_metrics.h
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -28,6 +28,8 @@
   kNoCapacity,
   // All servers of the service requested back-off.
   kServersBackingOff,
+  // The request does not fit into the memory for calls.
+  kNoMemory,
   // A part of the prompt is quarantined since it crashes engines.
   kQuarantined,
   // No server ran the call.
@@ -71,6 +73,8 @@
   kServerRequestedBackoff,
   // Responses that exceeded their size limit and were aborted.
   kOversizedResponse,
+  // Streams that were not read for a while since their callers read slowly.
+  kReadPaused,
 };
 
 // Collects the gateway's counters, gauges and latency for the metrics page.
--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -46,6 +46,8 @@
       return "server_asked_for_time";
     case GatewayCounter::kOversizedResponse:
       return "answer_without_end";
+    case GatewayCounter::kReadPaused:
+      return "read_paused";
   }
   return "unknown";
 }
@@ -74,6 +76,8 @@
       return "no_room";
     case CallOutcome::kServersBackingOff:
       return "servers_paused";
+    case CallOutcome::kNoMemory:
+      return "no_memory";
     case CallOutcome::kQuarantined:
       return "quarantined";
     case CallOutcome::kNotRun:
--- a/src/shell/gateway/backend_attempt.cc
+++ b/src/shell/gateway/backend_attempt.cc
@@ -1,5 +1,6 @@
 #include "shell/gateway/backend_attempt.h"
 
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -70,7 +71,12 @@
     self->events_ = AttemptEvents();
     if (handler) handler(end);
   };
-  connection_->Send(events_.request(), id_, std::move(events));
+  std::string request = events_.request();
+  const auto held = std::make_shared<HeldBytes>(context_.held_bytes,
+                                                HeldBytesPurpose::kRequest);
+  held->Set(request.size());
+  events.on_written = [held] { held->Set(0); };
+  connection_->Send(std::move(request), id_, std::move(events));
 }
 
 void BackendAttempt::ProcessServerNotices(const ResponseHead& facts, Time now) {
--- a/src/shell/gateway/backend_attempt.h
+++ b/src/shell/gateway/backend_attempt.h
@@ -55,6 +55,10 @@
   // server stops the call.
   void Cancel();
 
+  // Pauses or resumes reading the response.
+  void SetReadPaused(bool paused) {
+    if (connection_) connection_->SetReadPaused(paused);
+  }
   // Records that the server has sent the first event.
   void OnPrefillDone() { reservation_.OnPrefillDone(); }
   // Reserves more tokens for a call that exceeds its predicted length.
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -235,6 +235,14 @@
   context_.metrics.Set("gateway_evacuated_zones", evacuated_zones_.size());
   context_.metrics.Set("gateway_held_answer_bytes",
                        context_.response_buffers.bytes());
+  const HeldBytesBudget& held = *context_.held_bytes;
+  context_.metrics.Set("gateway_held_request_bytes",
+                       held.bytes(HeldBytesPurpose::kRequest));
+  context_.metrics.Set("gateway_held_response_bytes",
+                       held.bytes(HeldBytesPurpose::kResponse));
+  context_.metrics.Set("gateway_held_delivery_bytes",
+                       held.bytes(HeldBytesPurpose::kDelivery));
+  context_.metrics.Set("gateway_held_bytes_limit", held.limit());
   return context_.metrics.ToText();
 }
 
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -72,6 +72,11 @@
 
   void OnRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
 
+  // The budget of the bytes that are held for calls. The connections of callers
+  // are to share it.
+  const std::shared_ptr<HeldBytesBudget>& held_bytes() const {
+    return context_.held_bytes;
+  }
   std::size_t open_calls() const { return calls_.size(); }
   GatewayMetrics& metrics() { return context_.metrics; }
   std::string MetricsText();
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -51,6 +51,15 @@
   return "unknown";
 }
 
+// Returns the bytes of the request's head and body.
+std::size_t HeldSize(const HttpRequest& request) {
+  std::size_t bytes = request.target.size() + request.body.size();
+  for (const HttpField& field : request.fields) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 GatewayCounter RetryCounter(AttemptResult result) {
   switch (result) {
     case AttemptResult::kNeverSent:
@@ -77,13 +86,22 @@
       deadline_timer_(context.io),
       delay_timer_(context.io),
       arrived_at_(now),
-      plan_(context.plan) {}
+      plan_(context.plan),
+      held_request_(context.held_bytes, HeldBytesPurpose::kRequest),
+      held_response_(context.held_bytes, HeldBytesPurpose::kResponse),
+      pacer_(context.options.max_read_pause),
+      pace_timer_(context.io) {}
 
 void GatewayCall::Start(Time now) {
   head_ = context_.protocol.ReadCallHead(request_);
   exchange_->OnCallerDisconnected([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->OnCallerDisconnected();
   });
+  const std::size_t bytes = HeldSize(request_);
+  if (!context_.held_bytes->AdmitsRequest(bytes)) {
+    return Refuse({CallOutcome::kNoMemory, 503, kRetryAfterNoMemory});
+  }
+  held_request_.Set(bytes);
   Admit(now);
 }
 
@@ -315,6 +333,7 @@
   finished_ = true;
   deadline_timer_.cancel();
   delay_timer_.cancel();
+  pace_timer_.cancel();
   const auto self = shared_from_this();
   const Duration latency = MonotonicNow() - arrived_at_;
   context_.metrics.Count(outcome, latency);
@@ -346,12 +365,17 @@
        {"plan", std::to_string(plan_->plan().version)}});
   LeaveAdmissionQueue();
   context_.response_buffers.Release(std::exchange(buffered_bytes_, 0));
+  held_response_.Set(0);
+  // Other callbacks may keep this object for a while.
+  request_.body = std::string();
+  held_request_.Set(0);
   if (attempt_) attempt_->Cancel();
   if (next_attempt_) next_attempt_->Cancel();
   if (migration_) migration_->Cancel();
   attempt_ = nullptr;
   next_attempt_ = nullptr;
   migration_ = nullptr;
+  exchange_->OnBacklogShrunk(nullptr);
   exchange_->OnCallerDisconnected(nullptr);
   if (on_finished_) std::exchange(on_finished_, nullptr)();
 }
--- a/src/shell/gateway/gateway_call.h
+++ b/src/shell/gateway/gateway_call.h
@@ -130,6 +130,9 @@
   bool IsWithinSizeLimits() const;
   void AbortOversizedResponse();
   void RecordEventTimes(Time now);
+  // Pauses or resumes reading the stream as its caller reads it, or ends the
+  // call.
+  void PaceStream(Time now);
   // Reserves more memory for a stream that exceeds its predicted length.
   void UpdatePredictedLength();
   // Returns the number of output tokens so far.
@@ -229,6 +232,12 @@
   // transfer starts later, and only servers with capacity are targets.
   std::optional<Time> evacuate_until_;
 
+  // The bytes of the request and of the buffered response.
+  HeldBytes held_request_;
+  HeldBytes held_response_;
+  // Pauses the stream while its caller does not read.
+  StreamPacer pacer_;
+  boost::asio::steady_timer pace_timer_;
   HttpResponse response_;
   // Bytes of the response body that are reserved in the response buffer budget.
   std::size_t buffered_bytes_ = 0;
--- a/src/shell/gateway/gateway_call_migration.cc
+++ b/src/shell/gateway/gateway_call_migration.cc
@@ -271,6 +271,7 @@
   streaming_ = true;
   migration_attempts_ = 0;
   splitter_.Restart();
+  PaceStream(response_began_at_);
 }
 
 void GatewayCall::OnMigrationRefused(Time now) {
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -21,9 +21,6 @@
 constexpr std::uint64_t kExtraEvents = 1024;
 // Limit for calls that state no maximum number of output tokens.
 constexpr std::uint64_t kMaxEventsWithoutTokenLimit = 1U << 20U;
-// A stream whose caller does not read it is buffered up to this size. Most
-// complete streams are far smaller.
-constexpr std::size_t kMaxBacklogBytes = 512U << 10U;
 // An engine that crashes on a part of a prompt does so within this time of the
 // response's head. Longer than a slow host takes to forward the first events.
 constexpr Duration kBeginningOfResponse = std::chrono::seconds(1);
@@ -39,6 +36,7 @@
 
 void GatewayCall::OnHead(const HttpResponse& head, const ResponseHead& facts) {
   context_.response_buffers.Release(std::exchange(buffered_bytes_, 0));
+  held_response_.Set(0);
   response_ = head;
   response_facts_ = facts;
   streaming_ = IsEventStream(head);
@@ -47,7 +45,7 @@
   splitter_.Restart();
   if (!streaming_) return;
   context_.balancer.OnResponse(attempt_->plan().server, /*failed=*/false);
-  if (response_started_) return;
+  if (response_started_) return PaceStream(MonotonicNow());
   response_started_ = true;
   exchange_->StartStream(
       {head.status, head.content_type, EndToEndFields(head.fields), {}});
@@ -66,6 +64,7 @@
     return AbortOversizedResponse();
   }
   buffered_bytes_ += bytes.size();
+  held_response_.Set(buffered_bytes_);
   response_.body += bytes;
 }
 
@@ -95,10 +94,9 @@
   if (!IsWithinSizeLimits()) return AbortOversizedResponse();
   if (events.empty()) return;
   exchange_->WriteChunk(events);
-  if (exchange_->backlog_bytes() > kMaxBacklogBytes) {
-    return AbortStartedResponse(CallOutcome::kSlowCaller);
-  }
   const Time now = MonotonicNow();
+  PaceStream(now);
+  if (finished_) return;
   const bool first = first_event_at_ == Time();
   attempt_->OnPrefillDone();
   RecordEventTimes(now);
@@ -108,6 +106,35 @@
   if (migration_pending_ && first) Migrate(now);
 }
 
+void GatewayCall::PaceStream(Time now) {
+  if (finished_) return;
+  const bool was_paused = pacer_.pause_ends_at().has_value();
+  const auto action = pacer_.OnBacklog(
+      exchange_->backlog_bytes(), context_.held_bytes->AllowedBacklog(), now);
+  if (action == StreamPacer::Action::kEnd) {
+    // The backlog would use memory until the connection's write times out.
+    exchange_->Disconnect();
+    return Finish(CallOutcome::kSlowCaller, response_.status);
+  }
+  const bool is_paused = action == StreamPacer::Action::kPause;
+  // Also if nothing has changed, since the attempt may be a new one.
+  if (attempt_) attempt_->SetReadPaused(is_paused);
+  if (is_paused == was_paused) return;
+  if (!is_paused) {
+    pace_timer_.cancel();
+    return exchange_->OnBacklogShrunk(nullptr);
+  }
+  context_.metrics.Count(GatewayCounter::kReadPaused);
+  const auto pace = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->PaceStream(MonotonicNow());
+  };
+  exchange_->OnBacklogShrunk(pace);
+  pace_timer_.expires_after(*pacer_.pause_ends_at() - now);
+  pace_timer_.async_wait([pace](boost::system::error_code error) {
+    if (!error) pace();
+  });
+}
+
 void GatewayCall::RecordEventTimes(Time now) {
   if (first_event_at_ == Time()) {
     first_event_at_ = now;
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -21,6 +21,8 @@
 #include "coltsfootfork/core/gateway/response_buffer_budget.h"
 #include "coltsfootfork/core/gateway/retry_age_estimator.h"
 #include "coltsfootfork/core/gateway/startup_hold.h"
+#include "coltsfootfork/core/overload/held_bytes_budget.h"
+#include "coltsfootfork/core/overload/stream_pacer.h"
 #include "shell/clock/monotonic_now.h"
 #include "shell/gateway/call_protocol.h"
 #include "shell/gateway/connection_pool.h"
@@ -46,6 +48,10 @@
   // Time from the acknowledgement of an evacuation until no request may reach
   // the zone's servers.
   std::chrono::milliseconds evacuation_bound{5000};
+  // Limit for the bytes that the entry holds for callers and servers.
+  std::size_t held_bytes_limit = kDefaultHeldBytesLimit;
+  // How long a stream may stay unread while its caller does not read.
+  std::chrono::milliseconds max_read_pause = kDefaultMaxReadPause;
 };
 
 // State that the calls of one entry share.
@@ -59,6 +65,7 @@
         balancer(options.balancer, seed),
         budget(options.budget),
         pool(event_loop, call_protocol),
+        held_bytes(std::make_shared<HeldBytesBudget>(options.held_bytes_limit)),
         random(seed) {}
 
   boost::asio::io_context& io;
@@ -75,6 +82,8 @@
   RetryAgeEstimator retry_age;
   OutputLengthPredictor output_lengths;
   ResponseBufferBudget response_buffers;
+  // Shared with the callers' connections.
+  std::shared_ptr<HeldBytesBudget> held_bytes;
   GatewayMetrics metrics;
   std::mt19937_64 random;
   // Handles the drain notice that an incarnation of a server sent in a
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -68,21 +68,32 @@
   skipping_ = false;
   head_reported_ = false;
   skipped_bytes_ = 0;
+  read_paused_ = false;
   timer_.cancel();
   id_ = std::move(id);
   events_ = std::move(events);
   parser_.emplace();
   outgoing_ = std::move(bytes);
   writing_ = true;
-  asio::async_write(socket_, asio::buffer(outgoing_),
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      // A write error is handled by the read, since a response
-                      // that arrived before the error may still be unread.
-                      if (!error) self->writing_ = false;
-                    });
+  auto on_written = std::move(events_.on_written);
+  asio::async_write(
+      socket_, asio::buffer(outgoing_),
+      [self = shared_from_this(), on_written = std::move(on_written)](
+          error_code error, std::size_t) {
+        self->outgoing_ = std::string();
+        if (on_written) on_written();
+        // A write error is handled by the read, since a response
+        // that arrived before the error may still be unread.
+        if (!error) self->writing_ = false;
+      });
   Read();
 }
 
+void ServerConnection::SetReadPaused(bool paused) {
+  read_paused_ = paused;
+  if (!paused) Read();
+}
+
 void ServerConnection::Close() {
   if (!open_) return;
   open_ = false;
@@ -106,7 +117,7 @@
 }
 
 void ServerConnection::Read() {
-  if (reading_ || !open_) return;
+  if (reading_ || read_paused_ || !open_) return;
   reading_ = true;
   socket_.async_read_some(
       buffer_.prepare(kReadBytes),
@@ -198,6 +209,7 @@
   ExchangeEvents events = std::move(events_);
   events_ = ExchangeEvents();
   busy_ = false;
+  read_paused_ = false;
   if (reusable) {
     idle_since_ = MonotonicNow();
     StartIdleTimer();
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -36,6 +36,9 @@
   std::function<void(const HttpResponse& head, const ResponseHead& facts)>
       on_head;
   std::function<void(std::string_view bytes)> on_body;
+  // The request was written, or will not be written any more, and its bytes are
+  // released. Called once, also after the exchange has ended.
+  std::function<void()> on_written;
   // Called once, unless the exchange was cancelled.
   std::function<void(ExchangeEnd end)> on_end;
 };
@@ -58,7 +61,10 @@
 
   // Sends a request of the call `id`. The connection must be idle and open.
   void Send(std::string bytes, RequestId id, ExchangeEvents events);
-  // Closes the connection and cancels the exchange without a callback.
+  // Stops reading the response, except for what was read already, and reads on.
+  void SetReadPaused(bool paused);
+  // Closes the connection and cancels the exchange without a callback, except
+  // for on_written.
   void Close();
 
   // Sets a handler that is called with true when an exchange has ended and the
@@ -100,6 +106,7 @@
   bool busy_ = false;
   bool writing_ = false;
   bool reading_ = false;
+  bool read_paused_ = false;
   // The current response is interim or belongs to another call.
   bool skipping_ = false;
   bool head_reported_ = false;
--- a/src/shell/net/connection_table.h
+++ b/src/shell/net/connection_table.h
@@ -3,9 +3,12 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "coltsfootfork/core/overload/connection_limiter.h"
+#include "coltsfootfork/core/overload/held_bytes_budget.h"
 #include "coltsfootfork/core/types/time.h"
 
 namespace coltsfootfork {
@@ -16,7 +19,11 @@
  public:
   using ConnectionId = ConnectionLimiter::ConnectionId;
 
-  explicit ConnectionTable(const ConnectionLimits& limits) : limiter_(limits) {}
+  // The responses that wait for clients count toward `held_bytes`.
+  explicit ConnectionTable(const ConnectionLimits& limits,
+                           std::shared_ptr<HeldBytesBudget> held_bytes =
+                               std::make_shared<HeldBytesBudget>())
+      : limiter_(limits), held_bytes_(std::move(held_bytes)) {}
   ConnectionTable(const ConnectionTable&) = delete;
   ConnectionTable& operator=(const ConnectionTable&) = delete;
 
@@ -30,6 +37,10 @@
   // May close this and other connections before the function returns.
   void SetReadingBytes(ConnectionId id, std::size_t bytes, Time now);
 
+  const std::shared_ptr<HeldBytesBudget>& held_bytes() const {
+    return held_bytes_;
+  }
+
   // Values for the metrics page by metric name.
   std::map<std::string, std::uint64_t> MetricValues() const;
 
@@ -37,6 +48,7 @@
   void EnforceLimits(Time now);
 
   ConnectionLimiter limiter_;
+  std::shared_ptr<HeldBytesBudget> held_bytes_;
   std::map<ConnectionId, std::function<void()>> close_handlers_;
   std::map<ConnectionPhase, std::uint64_t> closed_;
   // Connections closed since the last log line.
--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -59,8 +59,13 @@
   // Closes the connection without the last chunk, so that the caller detects an
   // incomplete response.
   virtual void AbortStream() = 0;
+  // Closes the connection at once and discards what is not yet written.
+  virtual void Disconnect() = 0;
   // Response bytes that are queued and not yet written to the socket.
   virtual std::size_t backlog_bytes() const = 0;
+  // Sets a handler that is called whenever the backlog has shrunk; null for
+  // none.
+  virtual void OnBacklogShrunk(std::function<void()> handler) = 0;
   // Sets a handler that is called once if the caller disconnects before the
   // response is complete.
   virtual void OnCallerDisconnected(std::function<void()> handler) = 0;
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -57,7 +57,8 @@
     : server_(server),
       connections_(server->connections_),
       stream_(std::move(socket)),
-      idle_timer_(stream_.get_executor()) {
+      idle_timer_(stream_.get_executor()),
+      held_backlog_(connections_->held_bytes(), HeldBytesPurpose::kDelivery) {
   error_code ignored;
   stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   server_->sessions_.insert(this);
@@ -289,11 +290,16 @@
 
 void HttpSession::Queue(std::string bytes) {
   if (response_complete_) SetPhase(ConnectionPhase::kDelivering);
-  backlog_bytes_ += bytes.size();
+  SetBacklog(backlog_bytes_ + bytes.size());
   writes_.push_back(std::move(bytes));
   if (writes_.size() == 1) WriteNext();
 }
 
+void HttpSession::SetBacklog(std::size_t bytes) {
+  backlog_bytes_ = bytes;
+  held_backlog_.Set(bytes);
+}
+
 void HttpSession::WriteNext() {
   if (server_ != nullptr) stream_.expires_after(server_->limits_.write_timeout);
   asio::async_write(stream_, asio::buffer(writes_.front()),
@@ -303,17 +309,24 @@
 }
 
 void HttpSession::OnWritten(error_code error) {
-  if (state_ == State::kClosed) return;
-  backlog_bytes_ -= writes_.front().size();
+  if (state_ == State::kClosed) return writes_.clear();
+  SetBacklog(backlog_bytes_ - writes_.front().size());
   writes_.pop_front();
   if (error) return HandleDisconnect();
-  if (!writes_.empty()) return WriteNext();
-  stream_.expires_never();
-  if (response_complete_) FinishResponse();
+  if (!writes_.empty()) {
+    WriteNext();
+  } else {
+    stream_.expires_never();
+    if (response_complete_) return FinishResponse();
+  }
+  // Copied, since the handler may replace itself.
+  const auto handler = backlog_handler_;
+  if (handler) handler();
 }
 
 void HttpSession::FinishResponse() {
   disconnect_handler_ = nullptr;
+  backlog_handler_ = nullptr;
   error_code ignored;
   stream_.socket().cancel(ignored);
   if (!keep_alive_) return Close();
@@ -331,6 +344,10 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   connections_->Remove(connection_id_);
+  backlog_handler_ = nullptr;
+  // The write in progress uses the first element until it is cancelled.
+  if (!writes_.empty()) writes_.erase(writes_.begin() + 1, writes_.end());
+  SetBacklog(0);
   idle_timer_.cancel();
   error_code ignored;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/shell/net/http_session.h
+++ b/src/shell/net/http_session.h
@@ -9,7 +9,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
+#include "coltsfootfork/core/overload/held_bytes_budget.h"
 #include "shell/net/connection_table.h"
 #include "shell/net/http_server.h"
 
@@ -36,7 +38,11 @@
   void WriteChunk(std::string_view bytes) override;
   void FinishStream() override;
   void AbortStream() override;
+  void Disconnect() override { Close(); }
   std::size_t backlog_bytes() const override { return backlog_bytes_; }
+  void OnBacklogShrunk(std::function<void()> handler) override {
+    backlog_handler_ = std::move(handler);
+  }
   void OnCallerDisconnected(std::function<void()> handler) override;
 
  private:
@@ -58,6 +64,7 @@
   void WatchForDisconnect();
   void OnReadableWhileResponding();
   void Queue(std::string bytes);
+  void SetBacklog(std::size_t bytes);
   void WriteNext();
   void OnWritten(boost::system::error_code error);
   void FinishResponse();
@@ -81,6 +88,9 @@
   bool response_complete_ = false;
   std::deque<std::string> writes_;
   std::size_t backlog_bytes_ = 0;
+  // The backlog's share of the process's budget.
+  HeldBytes held_backlog_;
+  std::function<void()> backlog_handler_;
   std::function<void()> disconnect_handler_;
 };
 
--- a/src/shell/serving/entry_gateway.cc
+++ b/src/shell/serving/entry_gateway.cc
@@ -42,6 +42,7 @@
   options.budget.ratio = settings.retry_ratio;
   options.budget.window = settings.retry_window;
   options.balancer.placement = settings.placement;
+  options.held_bytes_limit = HeldBytesLimitForHost(settings.memory_bytes);
   options.use_ranks = settings.use_ranks;
   options.migrate_streams = settings.migrate_streams;
   options.backup_max_fill = settings.backup_max_fill;
@@ -58,8 +59,8 @@
     : settings_(settings),
       read_plan_(std::move(read_plan)),
       gateway_(io, protocol, MakeGatewayOptions(settings), seed),
-      connections_(
-          std::make_shared<ConnectionTable>(settings.MakeConnectionLimits())),
+      connections_(std::make_shared<ConnectionTable>(
+          settings.MakeConnectionLimits(), gateway_.held_bytes())),
       shutdown_timer_(io),
       process_(io, settings_path, settings, "entry",
                {[this] { BeginShutdown(); },
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -8,6 +8,7 @@
 
 #include "plan_decoder.h"
 #include "shell/clock/monotonic_now.h"
+#include "shell/net/connection_table.h"
 #include "shell/net/ip_address.h"
 
 namespace coltsfootfork {
@@ -32,7 +33,9 @@
           io, ParseEndpoint("127.0.0.1:0").value(), HttpLimits(),
           [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
             gateway.OnRequest(std::move(request), std::move(exchange));
-          }) {
+          },
+          std::make_shared<ConnectionTable>(ConnectionLimits(),
+                                            gateway.held_bytes())) {
   gateway.OnDrainNotice(
       [this](const ServerId& server, std::uint64_t incarnation) {
         directory.MarkDraining(server, incarnation, MonotonicNow());
--- a/tests/shell/net/http_server_test.cc
+++ b/tests/shell/net/http_server_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "shell/net/connection_table.h"
 #include "shell/net/http_client.h"
 #include "shell/net/ip_address.h"
 
@@ -206,5 +207,41 @@
   server.Stop();
 }
 
+// Guards against complete responses that use memory without being counted while
+// clients do not read them.
+BOOST_AUTO_TEST_CASE(UnreadResponseCountsUntilItIsReadOrClosed) {
+  // More than the sockets buffer.
+  constexpr std::size_t kBodyBytes = 32U << 20U;
+  for (const bool reads : {true, false}) {
+    boost::asio::io_context io;
+    const auto connections =
+        std::make_shared<ConnectionTable>(ConnectionLimits());
+    const HeldBytesBudget& held = *connections->held_bytes();
+    HttpServer server(
+        io, AnyPort(), {},
+        [](const HttpRequest&, const auto& exchange) {
+          exchange->Respond(
+              {200, "text/plain", {}, std::string(kBodyBytes, 'x')});
+        },
+        connections);
+    tcp::socket socket(io);
+    socket.connect(server.local_endpoint());
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n"
+                                                "Connection: close\r\n\r\n")));
+    while (held.total() == 0 && io.run_one() > 0) {
+    }
+    BOOST_TEST(held.bytes(HeldBytesPurpose::kDelivery) > kBodyBytes);
+    if (reads) {
+      BOOST_TEST(ReadToEnd(io, socket).size() > kBodyBytes);
+    } else {
+      socket.close();
+    }
+    while (held.total() > 0 && io.run_one() > 0) {
+    }
+    BOOST_TEST(held.total() == 0U);
+  }
+}
+
 }  // namespace
 }  // namespace coltsfootfork
