soak: Play evacuations of zones and cold servers

Cause: the soak knew neither evacuations nor cold servers, so nothing checked them on real processes under faults. Change: servers are in two zones, and there is one server more so that each zone has servers of both services. ArrivalChecker checks the calls that arrive at evacuated zones and at cold servers; the evacuated zones are read back.

--- a/soak/fault.h
+++ b/soak/fault.h
@@ -25,16 +25,27 @@
   kDrain,
   // The server deregisters without a drain, and continues to serve.
   kDeregister,
+  // The server is cold without a restart.
+  kCold,
   // All control processes and entries are killed at the same moment.
   kKillAll,
+  // An operator orders an evacuation of a zone, and later ends it.
+  kEvacuate,
 };
 
-enum class FaultTarget : std::uint8_t { kControl = 0, kEntry, kServer, kFleet };
+enum class FaultTarget : std::uint8_t {
+  kControl = 0,
+  kEntry,
+  kServer,
+  kFleet,
+  kZone
+};
 
 // Which faults are injected.
 enum class FaultMix : std::uint8_t {
   kAll = 0,
-  // Planned work only: graceful shutdowns, reloads, drains and deregistrations.
+  // Planned work only: graceful shutdowns, reloads, drains, deregistrations,
+  // cold servers and evacuations.
   kPlanned,
 };
 
@@ -53,12 +64,18 @@
   std::size_t controls = 0;
   std::size_t entries = 0;
   std::size_t servers = 0;
+  std::size_t zones = 0;
 };
 
 Fault DrawFault(FaultMix mix, const FaultTargetCounts& target_counts,
                 std::mt19937_64& random);
 
-// The upper limit of a fault's duration.
+// Returns whether the fault kills, pauses, stops or cuts off a control process
+// or an entry.
+bool DisturbsProcess(const Fault& fault);
+
+// The upper limit of a fault's duration, except for evacuations and cold
+// servers, which leave every process and connection alone.
 inline constexpr std::chrono::milliseconds kMaxFaultDuration{2500};
 
 // Returns a random pause before the next fault. It may be shorter than a fault,
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -26,8 +26,8 @@
   --entries=N  How many entries [default: 2].
   --logs=DIR   Keeps the logs of runs with findings there.
   --whole-disks  No step on a disk fails; else 2 in 1,000 do.
-  --planned    Planned work only: graceful shutdowns, reloads, drains and
-               deregistrations. They must cut off no call.
+  --planned    Planned work only: graceful shutdowns, reloads, drains,
+               deregistrations, cold servers and evacuations. They must cut off no call.
   --plant      Lets a backend server lie about what it has run: the checks must
                find it.
 )";
@@ -60,8 +60,9 @@
               << " faults, " << soak.checker().served() << " of "
               << soak.checker().responses() << " calls served, plan "
               << soak.checker().accepted() << ", recovered in "
-              << soak.recovered_in().count() << " ms, " << found.size()
-              << " findings\n";
+              << soak.recovered_in().count() << " ms, "
+              << soak.arrival_checker().max_cold_per_second()
+              << " calls/s at cold servers, " << found.size() << " findings\n";
     for (const auto& one : found) std::cout << "  " << one << "\n";
     if (!found.empty()) {
       ++broken;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -15,7 +16,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kControls = 3;
-constexpr std::size_t kServers = 5;
+constexpr std::size_t kServers = 6;
 constexpr std::size_t kModelServers = 3;
 constexpr std::chrono::milliseconds kInjectedDelay{60};
 
@@ -71,7 +72,8 @@
 }
 
 FaultTargetCounts SoakFleet::target_counts() const {
-  return {controls_.size(), entries_.size(), servers_.size()};
+  return {controls_.size(), entries_.size(), servers_.size(),
+          kServerZones.size()};
 }
 
 void SoakFleet::AddControl(std::size_t number) {
@@ -117,7 +119,9 @@
                          {"callers_listen", listen},
                          {"ready_listen", process.address},
                          {"control_seeds", {ControlIp(0) + ":1"}},
-                         {"stop_within_s", 2.0}};
+                         {"stop_within_s", 2.0},
+                         {"cold_overage", kModelColdLimit.overage},
+                         {"cold_slack", kModelColdLimit.slack}};
   std::ofstream(process.settings) << settings.dump();
   process.proxy = std::make_unique<LoopbackProxy>(
       io_, ToEndpoint("127.0.0.1:0"), ToEndpoint(listen));
@@ -128,6 +132,7 @@
 void SoakFleet::AddServer(std::size_t number) {
   Server server;
   server.service = number < kModelServers ? "model" : "ledger";
+  server.zone = kServerZones.at(number % kModelServers % kServerZones.size());
   server.engine =
       std::make_unique<PlatformEngine>(io_, "i-" + std::to_string(number));
   server.proxy = std::make_unique<LoopbackProxy>(
@@ -161,9 +166,15 @@
     case FaultTarget::kEntry:
       return ApplyFault(entries_.at(fault.number), fault.kind, /*begins=*/true);
     case FaultTarget::kServer:
+      if (fault.kind == FaultKind::kCold) {
+        return SetCold(servers_.at(fault.number), fault.duration);
+      }
       return ApplyFault(servers_.at(fault.number), fault.kind, /*begins=*/true);
     case FaultTarget::kFleet:
       return ApplyFaultToAll(FaultKind::kKill, /*begins=*/true);
+    case FaultTarget::kZone:
+      // The operator's part: the fleet's processes and servers are unaffected.
+      return;
   }
 }
 
@@ -180,6 +191,8 @@
                         /*begins=*/false);
     case FaultTarget::kFleet:
       return ApplyFaultToAll(FaultKind::kKill, /*begins=*/false);
+    case FaultTarget::kZone:
+      return;
   }
 }
 
@@ -253,6 +266,13 @@
   server.deregistered = false;
   ++server.incarnation;
   server.sequence = 0;
+  SetCold(server, kColdAfterStart);
+}
+
+void SoakFleet::SetCold(Server& server, std::chrono::milliseconds duration) {
+  if (server.service != "model") return;
+  server.cold_until =
+      std::max(server.cold_until, std::chrono::steady_clock::now() + duration);
 }
 
 void SoakFleet::KeepLogs(const std::string& folder) const {
@@ -265,9 +285,13 @@
 }
 
 std::string SoakFleet::Heartbeat(Server& server) {
+  using std::chrono::milliseconds;
+  const auto cold_left = std::chrono::duration_cast<milliseconds>(
+      server.cold_until - std::chrono::steady_clock::now());
   return json{{"service", server.service},
               {"address", server.engine->address()},
-              {"zone", "z0"},
+              {"zone", server.zone},
+              {"cold_left_ms", std::max(cold_left, milliseconds(0)).count()},
               {"slots", 24},
               {"state", server.draining ? "draining" : "ready"},
               {"born", server.incarnation},
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "platform/platform_engine.h"
+#include "soak/arrival_checker.h"
 #include "soak/fault.h"
 #include "soak/loopback_proxy.h"
 #include "support/child_process.h"
@@ -20,6 +23,16 @@
 // a stopping entry may have left.
 inline constexpr int kEventsOfLongStream = 1500;
 
+// The zones of the backend servers. Each has servers of every service; the
+// first and the last server are in the first one.
+inline constexpr std::array<const char*, 2> kServerZones = {"z0", "z1"};
+
+// What a cold server of model engines takes: less than the callers send to it.
+inline constexpr SoakColdLimit kModelColdLimit = {3, 1.5, 5};
+
+// How long a server is cold after a restart or an evacuation of its zone.
+inline constexpr std::chrono::milliseconds kColdAfterStart{4000};
+
 // Real processes of the system and simulated backend servers, each behind a
 // fault-injecting proxy.
 class SoakFleet {
@@ -41,12 +54,14 @@
     std::unique_ptr<PlatformEngine> engine;
     std::unique_ptr<LoopbackProxy> proxy;
     std::string service;
+    std::string zone;
     std::uint64_t incarnation = 1;
     std::uint64_t sequence = 0;
     bool draining = false;
     // The incarnation has deregistered and sends no more heartbeats.
     bool deregistered = false;
     bool down = false;
+    std::chrono::steady_clock::time_point cold_until;
   };
   struct Options {
     FaultMix mix = FaultMix::kAll;
@@ -73,6 +88,8 @@
   // Returns the next heartbeat of a server as JSON.
   static std::string Heartbeat(Server& server);
   static std::string Deregistration(Server& server);
+  // Makes a server of model engines cold for at least that long.
+  static void SetCold(Server& server, std::chrono::milliseconds duration);
   // Starts a new incarnation of the server under the same id and address.
   static void StartAnew(Server& server);
 
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -26,6 +26,11 @@
 // twice the time after which a host counts as in contact again.
 constexpr milliseconds kContactTime{6000};
 constexpr milliseconds kKilledFor{800};
+// Reaches beyond the time for which the kill excuses calls to an evacuated
+// zone.
+constexpr milliseconds kEvacuatedTime{3000};
+// Many times the interval of the messages between control processes.
+constexpr milliseconds kZonesAgreeWithin{5000};
 // An upper limit far above the expected time of any step; not a measured bound.
 constexpr std::chrono::seconds kRunUntilTimeout{90};
 
@@ -48,15 +53,17 @@
                        {"stride", 4}};
   json verdict = Route("verdict", "streaming", "model", 2);
   verdict["resumable"] = true;
+  const json model = {{"name", "model"},
+                      {"max_conns", 200},
+                      {"engine", engine},
+                      {"cold_per_s", kModelColdLimit.per_second}};
   const json document = {
       {"version", version},
       {"routes",
        {Route("talk", "streaming", "model", 1), verdict,
         Route("sale", "non_idempotent", "ledger", 2),
         Route("stock", "idempotent", "ledger", 3)}},
-      {"services",
-       {{{"name", "model"}, {"max_conns", 200}, {"engine", engine}},
-        {{"name", "ledger"}, {"max_conns", 200}}}}};
+      {"services", {model, {{"name", "ledger"}, {"max_conns", 200}}}}};
   return document.dump();
 }
 
@@ -65,10 +72,18 @@
 SoakRun::SoakRun(const SoakOptions& options)
     : options_(options),
       random_(options.seed),
+      fault_random_(random_()),
       fleet_(io_, {options.mix, options.entries, options.disk_fault_share}),
       checker_(options.mix == FaultMix::kPlanned ? kEventsOfLongStream
                                                  : kEventsOfStream,
-               options.mix == FaultMix::kPlanned) {
+               options.mix == FaultMix::kPlanned),
+      evacuations_(io_, fleet_.controls(), arrival_checker_) {
+  for (auto& server : fleet_.servers()) {
+    server.engine->SetOnArrival([this, &server](const std::string& call) {
+      arrival_checker_.OnArrival(server.engine->id(), server.zone, call,
+                                 std::chrono::steady_clock::now());
+    });
+  }
   std::vector<SoakCaller::Entry> entries;
   for (const auto& entry : fleet_.entries()) {
     entries.push_back(
@@ -134,8 +149,19 @@
 void SoakRun::SendHeartbeats() {
   for (auto& server : fleet_.servers()) {
     if (server.down || server.deregistered) continue;
-    SendTo(AnyControl(), server.engine->id(), "/heartbeat",
-           SoakFleet::Heartbeat(server));
+    const std::string id = server.engine->id();
+    const auto cold_until = server.cold_until;
+    SendRequest(AnyControl(), "POST", "/api/instances/" + id + "/heartbeat",
+                SoakFleet::Heartbeat(server),
+                [this, id, cold_until](const HttpFetchResult& result) {
+                  if (!result.response || result.response->status != 200) {
+                    return;
+                  }
+                  const auto now = std::chrono::steady_clock::now();
+                  if (cold_until > now) {
+                    arrival_checker_.OnColdReported(id, cold_until, now);
+                  }
+                });
   }
 }
 
@@ -210,14 +236,72 @@
 
 void SoakRun::NextFault() {
   if (!injecting_faults_) return;
-  const Fault fault = DrawFault(options_.mix, fleet_.target_counts(), random_);
+  const Fault fault =
+      DrawFault(options_.mix, fleet_.target_counts(), fault_random_);
   faults_.push_back(fault.ToText());
   fleet_.BeginFault(fault);
+  const auto ends_at = std::chrono::steady_clock::now() + fault.duration;
+  if (DisturbsProcess(fault)) arrival_checker_.OnProcessFault(ends_at);
+  if (fault.kind == FaultKind::kEvacuate) {
+    Evacuate(kServerZones.at(fault.number), fault.duration);
+  }
+  if (fault.target == FaultTarget::kServer &&
+      (fault.kind == FaultKind::kDelay ||
+       fault.kind == FaultKind::kStallToTarget)) {
+    arrival_checker_.OnCallsHeldBack(
+        fleet_.servers().at(fault.number).engine->id(), ends_at);
+  }
   if (fault.kind == FaultKind::kDeregister) {
     Deregister(fleet_.servers().at(fault.number));
   }
   After(fault.duration, [this, fault] { fleet_.EndFault(fault); });
-  After(DrawFaultPause(random_), [this] { NextFault(); });
+  After(DrawFaultPause(fault_random_), [this] { NextFault(); });
+}
+
+void SoakRun::Evacuate(const std::string& zone, milliseconds duration) {
+  const bool ordered = evacuations_.Start(
+      zone, [this, duration] { After(duration, [this] { EndEvacuation(); }); });
+  if (!ordered) faults_.back() += " (not ordered: one is in progress)";
+}
+
+void SoakRun::EndEvacuation() {
+  const std::string zone = evacuations_.zones().front();
+  evacuations_.End([this, zone] {
+    for (auto& server : fleet_.servers()) {
+      if (server.zone == zone) SoakFleet::SetCold(server, kColdAfterStart);
+    }
+  });
+}
+
+void SoakRun::CheckEvacuatedZones() {
+  const json expected = evacuations_.zones();
+  const auto end = std::chrono::steady_clock::now() + kZonesAgreeWithin;
+  for (const auto& control : fleet_.controls()) {
+    std::string read;
+    bool agrees = false;
+    while (!agrees && std::chrono::steady_clock::now() < end) {
+      bool asked = false;
+      SendRequest(control.address, "GET", "/api/evacuations", "",
+                  [&](const HttpFetchResult& result) {
+                    asked = true;
+                    read = result.response ? result.response->body : "";
+                  });
+      while (!asked) io_.run_one();
+      const json document = json::parse(read, nullptr, false);
+      agrees =
+          document.is_object() && document.value("zones", json()) == expected;
+    }
+    if (agrees) continue;
+    findings_.push_back("evacuated zones at " + control.address + ": " + read +
+                        ", ordered " + expected.dump());
+  }
+}
+
+void SoakRun::CheckEvacuationsEnd() {
+  if (RunUntil([this] { return evacuations_.is_idle(); })) {
+    return CheckEvacuatedZones();
+  }
+  findings_.push_back("an order to a zone is not acknowledged");
 }
 
 bool SoakRun::AllReady() {
@@ -269,6 +353,11 @@
 }
 
 void SoakRun::CheckDepartures() {
+  // The other zone is evacuated, so that calls to these servers are noticed.
+  const bool ordered = evacuations_.Start(fleet_.servers()[1].zone, [] {});
+  if (!ordered || !RunUntil([this] { return !evacuations_.zones().empty(); })) {
+    return findings_.push_back("an evacuation is not acknowledged");
+  }
   // One server of each service leaves.
   std::vector<SoakFleet::Server*> leaving = {&fleet_.servers().front(),
                                              &fleet_.servers().back()};
@@ -294,6 +383,7 @@
   fleet_.BeginFault(kill_all);
   pass(kKilledFor);
   fleet_.EndFault(kill_all);
+  arrival_checker_.OnProcessFault(std::chrono::steady_clock::now());
   const auto send_delayed = [&] {
     for (std::size_t i = 0; i < leaving.size(); ++i) {
       for (const auto& control : fleet_.controls()) {
@@ -320,6 +410,9 @@
     arrivals[i] = leaving[i]->engine->arrivals();
     SoakFleet::StartAnew(*leaving[i]);
   }
+  pass(kEvacuatedTime);
+  CheckEvacuatedZones();
+  EndEvacuation();
   const bool used = RunUntil([&] {
     for (std::size_t i = 0; i < leaving.size(); ++i) {
       if (leaving[i]->engine->arrivals() == arrivals[i]) return false;
@@ -364,7 +457,10 @@
     findings_.push_back("recovered only in " +
                         std::to_string(recovered_in_.count()) + " ms");
   }
+  // Evacuations may last longer than other faults.
+  CheckEvacuationsEnd();
   if (options_.mix == FaultMix::kAll) CheckDepartures();
+  CheckEvacuationsEnd();
   for (const auto& caller : callers_) caller->Stop();
   RunUntil([this] {
     for (const auto& caller : callers_) {
@@ -377,8 +473,10 @@
     checker_.OnRuns(server.engine->runs_by_call());
   }
   checker_.CheckRuns();
-  findings_.insert(findings_.end(), checker_.findings().begin(),
-                   checker_.findings().end());
+  for (const auto* findings :
+       {&checker_.findings(), &arrival_checker_.findings()}) {
+    findings_.insert(findings_.end(), findings->begin(), findings->end());
+  }
   return KeepLogs();
 }
 
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "shell/net/http_client.h"
+#include "soak/arrival_checker.h"
+#include "soak/evacuation_operator.h"
 #include "soak/invariant_checker.h"
 #include "soak/soak_caller.h"
 #include "soak/soak_fleet.h"
@@ -43,6 +45,7 @@
   // Runs to completion and returns the findings; empty if all checks pass.
   const std::vector<std::string>& Run();
   const InvariantChecker& checker() const { return checker_; }
+  const ArrivalChecker& arrival_checker() const { return arrival_checker_; }
   const std::vector<std::string>& faults() const { return faults_; }
   // The time from the end of the last fault until all calls are served again.
   std::chrono::milliseconds recovered_in() const { return recovered_in_; }
@@ -71,6 +74,15 @@
   void ChangePlan();
   void ReadPlan();
   void NextFault();
+  // Evacuates the zone for that long after the acknowledgement.
+  void Evacuate(const std::string& zone, std::chrono::milliseconds duration);
+  // Ends the evacuation. The zone's servers are cold then.
+  void EndEvacuation();
+  // Checks that each control process returns the zones of the last order that
+  // was acknowledged.
+  void CheckEvacuatedZones();
+  // Waits until no evacuation is in progress, and checks the same.
+  void CheckEvacuationsEnd();
   bool AllReady();
   // Checks after the last fault that each entry is ready, that each control
   // process returns the newest plan, and that callers are served.
@@ -87,8 +99,13 @@
   SoakOptions options_;
   boost::asio::io_context io_;
   std::mt19937_64 random_;
+  // Faults have a generator of their own, because the order in which the timers
+  // of the others draw numbers depends on the machine.
+  std::mt19937_64 fault_random_;
   SoakFleet fleet_;
   InvariantChecker checker_;
+  ArrivalChecker arrival_checker_{kModelColdLimit};
+  EvacuationOperator evacuations_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   std::vector<std::unique_ptr<boost::asio::steady_timer>> timers_;
   std::vector<std::string> faults_;
--- a/tests/platform/platform_engine.cc
+++ b/tests/platform/platform_engine.cc
@@ -83,6 +83,7 @@
   if (!expected.empty() && expected != id_) {
     return exchange->Respond({421, "", {{"Instance-Id", id_}}, ""});
   }
+  if (on_arrival_) on_arrival_(call);
   const std::string source = Text(request.Field("Kv-From"));
   const std::string handle = source.substr(source.find('/') + 1);
   const bool has_copy = !source.empty() && kv_copies_.count(handle) != 0;
--- a/tests/platform/platform_engine.h
+++ b/tests/platform/platform_engine.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -69,6 +70,10 @@
   // Crashes as it begins a response to a call whose prompt has the part; empty
   // for no part.
   void SetPoisonPart(std::string part) { poison_part_ = std::move(part); }
+  // Called for each call that arrives, but those refused with 421.
+  void SetOnArrival(std::function<void(const std::string& call)> on_arrival) {
+    on_arrival_ = std::move(on_arrival);
+  }
   // Aborts all streams, as a crash does.
   void Crash();
   int crashes() const { return crashes_; }
@@ -123,6 +128,7 @@
   bool echoes_call_id_ = false;
   std::optional<std::string> rate_limit_;
   int arrivals_ = 0;
+  std::function<void(const std::string& call)> on_arrival_;
   std::string address_;
   std::vector<PlatformEngine*> peers_;
   std::map<std::string, std::shared_ptr<Run>> runs_;
