--- a/tests/core/gateway/server_performance_load_test.cc
+++ b/tests/core/gateway/server_performance_load_test.cc
@@ -250,10 +250,9 @@
 };
 
 std::vector<double> ThreeSpeeds() {
-  std::vector<double> speeds;
-  for (int i = 0; i < 24; ++i) {
-    speeds.push_back(std::array<double, 4>{1.0, 0.6, 1.0, 1.6}.at(
-        static_cast<std::size_t>(i % 4)));
+  std::vector<double> speeds(24);
+  for (std::size_t i = 0; i < speeds.size(); ++i) {
+    speeds[i] = std::array<double, 4>{1.0, 0.6, 1.0, 1.6}.at(i % 4);
   }
   return speeds;
 }
--- a/tests/shell/serving/serving_settings_test.cc
+++ b/tests/shell/serving/serving_settings_test.cc
@@ -31,6 +31,7 @@
   BOOST_TEST(parsed->FleetAddress() == "10.0.0.1:7000");
   BOOST_TEST(
       std::holds_alternative<PowerOfDChoicesPlacement>(parsed->placement));
+  BOOST_TEST(std::holds_alternative<IgnorePerformance>(parsed->performance));
   BOOST_TEST(parsed->use_ranks);
   BOOST_TEST(parsed->migrate_streams);
 }
@@ -38,11 +39,13 @@
 BOOST_AUTO_TEST_CASE(PoliciesAreSelectedByName) {
   json settings = MinimalSettings();
   settings["placement"] = "round_robin";
+  settings["server_performance"] = "learned";
   settings["use_ranks"] = false;
   Findings findings;
   const auto parsed = ParseServingSettings(settings.dump(), findings);
   BOOST_REQUIRE(parsed.has_value());
   BOOST_TEST(std::holds_alternative<RoundRobinPlacement>(parsed->placement));
+  BOOST_TEST(std::holds_alternative<LearnedPerformance>(parsed->performance));
   BOOST_TEST(!parsed->use_ranks);
 }
 
@@ -50,11 +53,12 @@
   json settings = MinimalSettings();
   settings.erase("ip");
   settings["placement"] = "best";
+  settings["server_performance"] = "guessed";
   settings["fleet_listen"] = "nowhere";
   settings["control_seeds"] = {"10.0.0.1:1", "seed"};
   const std::string findings = FindingsOf(settings);
-  for (const char* pointer :
-       {"/ip", "/placement", "/fleet_listen", "/control_seeds/1"}) {
+  for (const char* pointer : {"/ip", "/placement", "/server_performance",
+                              "/fleet_listen", "/control_seeds/1"}) {
     BOOST_TEST(findings.find(pointer) != std::string::npos);
   }
 }
