--- a/src/core/control_state/field_archive.h
+++ b/src/core/control_state/field_archive.h
@@ -112,6 +112,10 @@
   void OmitDefault(const char* name, std::optional<T>& value) {
     if (value) operator()(name, value);
   }
+  template <typename T>
+  void OmitDefault(const char* name, std::vector<T>& list) {
+    if (!list.empty()) operator()(name, list);
+  }
   void OmitDefault(const char* name, std::uint64_t& value) {
     if (value != 0) operator()(name, value);
   }
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -243,6 +243,7 @@
   context_.metrics.Set("gateway_held_delivery_bytes",
                        held.bytes(HeldBytesPurpose::kDelivery));
   context_.metrics.Set("gateway_held_bytes_limit", held.limit());
+  context_.metrics.Set("gateway_slow_servers", context_.balancer.SlowServers());
   return context_.metrics.ToText();
 }
 
--- a/src/shell/gateway/gateway_context.h
+++ b/src/shell/gateway/gateway_context.h
@@ -84,6 +84,7 @@
   ResponseBufferBudget response_buffers;
   // Shared with the callers' connections.
   std::shared_ptr<HeldBytesBudget> held_bytes;
+  PauseCollector pauses;
   GatewayMetrics metrics;
   std::mt19937_64 random;
   // Handles the drain notice that an incarnation of a server sent in a
