fleet: Publish the mean of a server that slows down before it is known

Cause: when recent pauses replaced the history of a server with few samples, the new samples were not counted, so its weight stayed below the one from which a mean is published; a test with two entries and two control processes waited forever. Change: the samples of a slowdown add to the weight, which stays high enough until the next publication.

--- a/src/core/fleet/performance_feed.cc
+++ b/src/core/fleet/performance_feed.cc
@@ -30,6 +30,8 @@
 constexpr double kRecentHalfLifeSeconds = 1;
 constexpr double kMinSlowdownEvents = 12;
 constexpr double kSlowdown = 1.8;
+// Remains above kMinWeight until the next time that means are published.
+constexpr double kWeightAfterSlowdown = 250;
 // A pause counts as at most this multiple of the stream's preceding mean: a
 // single stall, as by another call's prefill, is no slowdown.
 constexpr int kMaxPauseRatio = 4;
@@ -175,7 +177,8 @@
                              recent.weight >= kMinSlowdownEvents &&
                              recent.Mean() >= kSlowdown * total.Mean();
     if (slowed_down) {
-      const double weight = std::min(total.weight, kMinWeight);
+      const double weight =
+          std::min(total.weight + events, kWeightAfterSlowdown);
       total = {weight, weight * recent.Mean()};
     } else {
       total.Add(events,
--- a/tests/core/fleet/performance_feed_test.cc
+++ b/tests/core/fleet/performance_feed_test.cc
@@ -58,6 +58,15 @@
   BOOST_TEST(MeanOf(totals, kServer) < Units(milliseconds(27)));
 }
 
+// Samples of two entries that differ much, as in a slowdown, must still add up.
+BOOST_AUTO_TEST_CASE(ASlowdownOfAnUnknownServerIsPublished) {
+  PerformanceTotals totals;
+  totals.AddFromEntry({kServer, 0, 150, 3000}, kNow);
+  totals.AddFromPeer({kServer, 0, 150, 9000}, kNow + seconds(1));
+  totals.Publish(1, kNow + milliseconds(1200));
+  BOOST_TEST(MeanOf(totals, kServer) > Units(milliseconds(30)));
+}
+
 // Guards against taking noise for a slowdown: 15 percent of the pauses are 2.5
 // times as long.
 BOOST_AUTO_TEST_CASE(NoiseMovesTheMeanLittle) {
--- a/tests/platform/control_test.cc
+++ b/tests/platform/control_test.cc
@@ -273,6 +273,46 @@
   group.RunUntil([&] { return crashes_at(0) == 0 && crashes_at(2) == 0; });
 }
 
+// Entries at different control processes must add up what they see of a server:
+// each alone has too few samples.
+BOOST_AUTO_TEST_CASE(EntriesShareThePausesOfServers) {
+  ControlGroup group(2, 2);
+  group.PutUntilAccepted(0, 5);
+  constexpr ServerKey kServer = 7;
+  std::array<EncodedPauses, 2> received;
+  std::array<PauseCollector, 2> pauses;
+  std::array<std::unique_ptr<ControlSubscriber>, 2> entries;
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    pauses.at(i).Add(kServer, OccupancyBand::kFromHalf,
+                     {150, 3000U + 6000 * i});
+    ControlSubscriberEvents events;
+    events.on_plan = [](const PlanDocument&) {};
+    events.on_directory = [](const ServerDirectory&) {};
+    events.on_usage = [](const FleetLoad&, const FleetDemand&, std::uint32_t) {
+    };
+    events.own_load = [] { return FleetLoad(); };
+    events.own_demand = [] { return FleetDemand(); };
+    events.take_pauses = [&, i] { return pauses.at(i).Take(1); };
+    events.on_pauses = [&, i](const EncodedPauses& changes) {
+      if (!changes.empty()) received.at(i) = changes;
+    };
+    entries.at(i) = std::make_unique<ControlSubscriber>(
+        group.io,
+        ControlSubscriberOptions{
+            "entry-" + std::to_string(i), {group.processes[i].address}, i},
+        std::move(events));
+  }
+  group.RunUntil([&] { return !received[0].empty() && !received[1].empty(); });
+  for (const EncodedPauses& changes : received) {
+    BOOST_REQUIRE(changes.size() == 3U);
+    BOOST_TEST(changes[0] == kServer);
+    BOOST_TEST(changes[1] == 0U);
+    // The mean of 20 ms and 60 ms, in either order, in quarters of one.
+    BOOST_TEST(changes[2] > 120U);
+    BOOST_TEST(changes[2] < 250U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidHeartbeatIsRefusedAndNotStored) {
   ControlGroup group(1, 1);
   BOOST_TEST(
