soak: Restart a process only when the last fault that stops it ends

The log of entry-1 shows why: two stops overlapped, and the end of the second killed the process that the end of the first had started (started 08:03:39.950, killed and started again 08:03:41.247, without a signal to stop). Change: a process counts the active faults that stop it, and starts again when there are none left. The evacuated zones are awaited for 5 s at each control process, not for 5 s at all together.

--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -220,11 +220,12 @@
     if (process.child) process.child->Signal(begins ? SIGSTOP : SIGCONT);
   }
   const bool ends = kind == FaultKind::kKill || kind == FaultKind::kStop;
+  if (ends) process.stops += begins ? 1 : -1;
   if (ends && begins && process.child) {
     process.child->Signal(kind == FaultKind::kKill ? SIGKILL : SIGTERM);
     process.stopping = true;
   }
-  if (ends && !begins) {
+  if (ends && !begins && process.stops == 0) {
     // The previous process may still be stopping; its ports must be free.
     process.child->Signal(SIGKILL);
     process.child->Wait();
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -47,6 +47,9 @@
     std::string address;
     // The number of active faults that pause the process.
     int pauses = 0;
+    // The number of active faults that stop or kill the process. It restarts
+    // when the last of them ends.
+    int stops = 0;
     // The process was signalled to stop.
     bool stopping = false;
   };
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -275,8 +275,8 @@
 
 void SoakRun::CheckEvacuatedZones() {
   const json expected = evacuations_.zones();
-  const auto end = std::chrono::steady_clock::now() + kZonesAgreeWithin;
   for (const auto& control : fleet_.controls()) {
+    const auto end = std::chrono::steady_clock::now() + kZonesAgreeWithin;
     std::string read;
     bool agrees = false;
     while (!agrees && std::chrono::steady_clock::now() < end) {
