gateway: Rename fields that repeated the platform's names

Cause: the permitted regions of a route and the request rate of a cold server had the names that they have on the platform's wire. Change: they are renamed outside platform/, and a test's repeated steps are one function.

--- a/include/coltsfootfork/core/gateway/load_balancer.h
+++ b/include/coltsfootfork/core/gateway/load_balancer.h
@@ -59,7 +59,7 @@
   // Share of the free memory that this entry may use.
   HeadroomShare headroom_share;
   // Regions in which the call may run.
-  AllowedRegions allowed_regions;
+  AllowedRegions permitted_regions;
   // Migration targets must have capacity for the call's predicted load.
   bool requires_capacity = false;
 };
@@ -260,7 +260,7 @@
   LoadBalancerOptions options_;
   ZoneRestrictions zone_restrictions_;
   std::map<ServerId, Server> servers_;
-  std::map<ServiceId, double> cold_per_second_;
+  std::map<ServiceId, double> cold_request_rate_;
   // Number of entries that share the servers, and whether control has told it.
   std::uint32_t entry_count_ = 1;
   bool is_entry_count_known_ = false;
--- a/include/coltsfootfork/core/gateway/routing_plan.h
+++ b/include/coltsfootfork/core/gateway/routing_plan.h
@@ -53,7 +53,7 @@
   bool is_public = false;
   bool resumable = false;
   // Regions in which calls may run; empty for all.
-  std::vector<RegionId> allowed_regions;
+  std::vector<RegionId> permitted_regions;
 
   // Returns whether a call may run more than once.
   bool IsSafeToRetry() const {
@@ -83,7 +83,7 @@
   std::uint32_t max_connections = 0;
   // Requests a second, from all entries together, that a server takes while it
   // is cold after its start; zero for no limit.
-  double cold_per_second = 0;
+  double cold_request_rate = 0;
   // Set for services that run a model.
   std::optional<EngineProfile> engine;
 };
@@ -101,7 +101,7 @@
   // Takes precedence over the route's rank.
   std::optional<std::uint32_t> rank;
   // Regions in which calls may run, besides those of the route; empty for all.
-  std::vector<RegionId> allowed_regions;
+  std::vector<RegionId> permitted_regions;
 };
 
 struct RoutingPlan {
--- a/include/coltsfootfork/core/gateway/zone_restrictions.h
+++ b/include/coltsfootfork/core/gateway/zone_restrictions.h
@@ -31,7 +31,8 @@
   // Replaces the evacuated zones, which this entry learned of now.
   void SetEvacuated(const std::vector<ZoneId>& zones, Time now);
 
-  bool Allows(const ZoneId& zone, const AllowedRegions& allowed_regions) const;
+  bool Allows(const ZoneId& zone,
+              const AllowedRegions& permitted_regions) const;
   // Returns when this entry learned that the zone is evacuated; nullopt if it
   // is not.
   std::optional<Time> EvacuatedSince(const ZoneId& zone) const;
--- a/soak/arrival_checker.cc
+++ b/soak/arrival_checker.cc
@@ -8,8 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The rules of the requirements page: an evacuation is in force this long after
-// its acknowledgement, and this long after the last fault of a process.
+// An evacuation is in force this long after its acknowledgement, and this long
+// after the last fault of a process.
 constexpr seconds kEvacuationTakesEffect{5};
 constexpr seconds kExtensionByFaults{8};
 // The news that a server is cold reaches undisturbed entries within this time.
@@ -71,7 +71,7 @@
   if (now < held_back_until_[server]) return arrivals.clear();
   arrivals.push_back(now);
   while (now - arrivals.front() >= kColdPeriod) arrivals.pop_front();
-  max_cold_per_second_ = std::max(max_cold_per_second_, arrivals.size());
+  max_cold_request_rate_ = std::max(max_cold_request_rate_, arrivals.size());
   const double bound = limit_.per_second * limit_.overage + limit_.slack;
   if (static_cast<double>(arrivals.size()) <= bound) return;
   findings_.push_back(call + ": call " + std::to_string(arrivals.size()) +
--- a/soak/arrival_checker.h
+++ b/soak/arrival_checker.h
@@ -43,7 +43,7 @@
                  const std::string& call, Time now);
 
   // The highest number of calls in a second that a cold server got.
-  std::size_t max_cold_per_second() const { return max_cold_per_second_; }
+  std::size_t max_cold_request_rate() const { return max_cold_request_rate_; }
   const std::vector<std::string>& findings() const { return findings_; }
 
  private:
@@ -62,7 +62,7 @@
   Time process_faults_end_at_;
   std::map<std::string, ColdServer> cold_;
   std::map<std::string, Time> held_back_until_;
-  std::size_t max_cold_per_second_ = 0;
+  std::size_t max_cold_request_rate_ = 0;
   std::vector<std::string> findings_;
 };
 
--- a/soak/arrival_checker_test.cc
+++ b/soak/arrival_checker_test.cc
@@ -61,7 +61,7 @@
   BOOST_TEST(checker.findings().empty());
   ArriveInSeries(checker, 2900, kBound);
   BOOST_TEST(checker.findings().size() == 1);
-  BOOST_TEST(checker.max_cold_per_second() > kBound);
+  BOOST_TEST(checker.max_cold_request_rate() > kBound);
 }
 
 BOOST_AUTO_TEST_CASE(OnlyKnownColdPeriodsAreChecked) {
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -61,7 +61,7 @@
               << soak.checker().responses() << " calls served, plan "
               << soak.checker().accepted() << ", recovered in "
               << soak.recovered_in().count() << " ms, "
-              << soak.arrival_checker().max_cold_per_second()
+              << soak.arrival_checker().max_cold_request_rate()
               << " calls/s at cold servers, " << found.size() << " findings\n";
     for (const auto& one : found) std::cout << "  " << one << "\n";
     if (!found.empty()) {
--- a/src/core/gateway/load_balancer.cc
+++ b/src/core/gateway/load_balancer.cc
@@ -73,15 +73,15 @@
 
 void LoadBalancer::SetColdLimits(std::map<ServiceId, double> per_second,
                                  Time now) {
-  cold_per_second_ = std::move(per_second);
+  cold_request_rate_ = std::move(per_second);
   for (auto& [id, server] : servers_) {
     if (now < server.warmup_until) MarkCold(server, server.warmup_until, now);
   }
 }
 
 void LoadBalancer::MarkCold(Server& server, Time until, Time now) {
-  const auto limit = cold_per_second_.find(server.record.service);
-  if (limit == cold_per_second_.end()) return;
+  const auto limit = cold_request_rate_.find(server.record.service);
+  if (limit == cold_request_rate_.end()) return;
   std::uniform_real_distribution<double> uniform(0, 1);
   const auto entries =
       is_entry_count_known_ ? std::optional(entry_count_) : std::nullopt;
@@ -315,7 +315,7 @@
 bool LoadBalancer::IsEligible(const Server& server,
                               const ServerQuery& query) const {
   return IsReadyFor(server, query) &&
-         zone_restrictions_.Allows(server.record.zone, query.allowed_regions);
+         zone_restrictions_.Allows(server.record.zone, query.permitted_regions);
 }
 
 bool LoadBalancer::IsRestrictedToNoServer(const ServerQuery& query) const {
--- a/src/core/gateway/zone_restrictions.cc
+++ b/src/core/gateway/zone_restrictions.cc
@@ -28,11 +28,12 @@
 }
 
 bool ZoneRestrictions::Allows(const ZoneId& zone,
-                              const AllowedRegions& allowed_regions) const {
+                              const AllowedRegions& permitted_regions) const {
   if (evacuated_since_.count(zone) != 0) return false;
-  if (!allowed_regions) return true;
+  if (!permitted_regions) return true;
   const auto region = regions_.find(zone);
-  return region != regions_.end() && allowed_regions->count(region->second) > 0;
+  return region != regions_.end() &&
+         permitted_regions->count(region->second) > 0;
 }
 
 std::optional<Time> ZoneRestrictions::EvacuatedSince(const ZoneId& zone) const {
--- a/src/shell/gateway/gateway.cc
+++ b/src/shell/gateway/gateway.cc
@@ -34,8 +34,8 @@
 void Gateway::SetPlan(std::shared_ptr<const RoutingPlan> plan) {
   std::map<ServiceId, double> cold_limits;
   for (const PlanService& service : plan->services) {
-    if (service.cold_per_second > 0) {
-      cold_limits[service.name] = service.cold_per_second;
+    if (service.cold_request_rate > 0) {
+      cold_limits[service.name] = service.cold_request_rate;
     }
   }
   const Time now = MonotonicNow();
--- a/src/shell/gateway/gateway_call_admission.cc
+++ b/src/shell/gateway/gateway_call_admission.cc
@@ -136,8 +136,8 @@
 }
 
 AllowedRegions GatewayCall::RegionsOfCall() const {
-  return CombineRegions(route_->allowed_regions,
-                        workspace_ != nullptr ? workspace_->allowed_regions
+  return CombineRegions(route_->permitted_regions,
+                        workspace_ != nullptr ? workspace_->permitted_regions
                                               : std::vector<RegionId>());
 }
 
@@ -148,7 +148,7 @@
   query.tokens = predicted_tokens_;
   query.excluded = tried_servers_;
   query.max_fill = MaxFillForRank(rank_);
-  query.allowed_regions = RegionsOfCall();
+  query.permitted_regions = RegionsOfCall();
   if (query.engine == nullptr) return query;
   query.headroom_share =
       context_.headroom.ShareFor(service_->name, HeadroomRank(now),
@@ -219,7 +219,7 @@
   // A retry may be dispatched to any server, also to those already tried.
   ServerQuery query;
   query.service = service_->name;
-  query.allowed_regions = RegionsOfCall();
+  query.permitted_regions = RegionsOfCall();
   const auto backoff_end = context_.balancer.EarliestBackoffEnd(query, now);
   if (!backoff_end) return std::nullopt;
   return std::chrono::ceil<std::chrono::milliseconds>(*backoff_end - now);
--- a/tests/core/gateway/load_balancer_zones_test.cc
+++ b/tests/core/gateway/load_balancer_zones_test.cc
@@ -42,7 +42,7 @@
     query.service = kService;
     query.engine = &engine;
     query.tokens = 100;
-    query.allowed_regions = regions;
+    query.permitted_regions = regions;
     return query;
   }
 
--- a/tests/platform/cold_servers_test.cc
+++ b/tests/platform/cold_servers_test.cc
@@ -21,7 +21,7 @@
   GatewayFixture fixture(Options());
   PlatformEngine cold(fixture.io, "i-cold");
   PlatformEngine warm(fixture.io, "i-warm");
-  fixture.cold_per_second = 2;
+  fixture.cold_request_rate = 2;
   fixture.SetPlan();
   fixture.gateway.SetEntryCount(40, MonotonicNow());
   fixture.Announce(cold.id(), cold.address(), "model", ServerState::kReady, 1,
@@ -41,7 +41,7 @@
 BOOST_AUTO_TEST_CASE(CallIsRefusedWithTheTimeAtWhichAColdEngineTakesIt) {
   GatewayFixture fixture(Options());
   PlatformEngine cold(fixture.io, "i-cold");
-  fixture.cold_per_second = 2;
+  fixture.cold_request_rate = 2;
   fixture.SetPlan();
   fixture.gateway.SetEntryCount(40, MonotonicNow());
   fixture.Announce(cold.id(), cold.address(), "model", ServerState::kReady, 1,
--- a/tests/platform/evacuated_zones_test.cc
+++ b/tests/platform/evacuated_zones_test.cc
@@ -55,6 +55,14 @@
     return fixture.Fetch(fixture.StreamRequest("/talk/1", id));
   }
 
+  // Starts a stream, and waits until its caller has received some events.
+  std::shared_ptr<std::optional<HttpFetchResult>> StartStream() {
+    auto done = fixture.Start(fixture.StreamRequest("/talk/1", "r1"));
+    fixture.RunUntil([&] { return north.running() + south.running() > 0; });
+    for (int i = 0; i < 60; ++i) fixture.io.run_one();
+    return done;
+  }
+
   GatewayFixture fixture;
   PlatformEngine north;
   PlatformEngine south;
@@ -98,11 +106,7 @@
 
 BOOST_AUTO_TEST_CASE(RunningStreamMigratesOutOfEvacuatedZone) {
   TwoZones zones;
-  const auto done =
-      zones.fixture.Start(zones.fixture.StreamRequest("/talk/1", "r1"));
-  zones.fixture.RunUntil(
-      [&] { return zones.north.running() + zones.south.running() > 0; });
-  for (int i = 0; i < 60; ++i) zones.fixture.io.run_one();
+  const auto done = zones.StartStream();
   const bool in_north = zones.north.running() > 0;
   PlatformEngine& source = in_north ? zones.north : zones.south;
   PlatformEngine& target = in_north ? zones.south : zones.north;
@@ -117,11 +121,7 @@
 // Without capacity elsewhere a stream ends where it runs.
 BOOST_AUTO_TEST_CASE(StreamStaysIfOtherZonesHaveNoCapacity) {
   TwoZones zones;
-  const auto done =
-      zones.fixture.Start(zones.fixture.StreamRequest("/talk/1", "r1"));
-  zones.fixture.RunUntil(
-      [&] { return zones.north.running() + zones.south.running() > 0; });
-  for (int i = 0; i < 60; ++i) zones.fixture.io.run_one();
+  const auto done = zones.StartStream();
   const bool in_north = zones.north.running() > 0;
   PlatformEngine& source = in_north ? zones.north : zones.south;
   PlatformEngine& target = in_north ? zones.south : zones.north;
@@ -163,10 +163,7 @@
 BOOST_AUTO_TEST_CASE(RestrictedStreamDoesNotMigrateToAnotherRegion) {
   TwoZones zones;
   zones.fixture.SetPlan(20000, 0, {"r-north"});
-  const auto done =
-      zones.fixture.Start(zones.fixture.StreamRequest("/talk/1", "r1"));
-  zones.fixture.RunUntil([&] { return zones.north.running() > 0; });
-  for (int i = 0; i < 60; ++i) zones.fixture.io.run_one();
+  const auto done = zones.StartStream();
   zones.fixture.Announce(zones.north.id(), zones.north.address(), "model",
                          ServerState::kDraining, /*incarnation=*/1, "north");
   zones.fixture.RunUntil([&] { return done->has_value(); });
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -86,7 +86,7 @@
        {{{"name", "ledger"}, {"max_conns", 100}},
         {{"name", "model"},
          {"max_conns", 100},
-         {"cold_per_s", cold_per_second},
+         {"cold_per_s", cold_request_rate},
          {"engine",
           {{"slots", 24},
            {"kv_capacity_tokens", 30000},
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -48,7 +48,7 @@
 
   // Requests a second that cold servers of "model" take, for the next SetPlan;
   // zero for no limit.
-  double cold_per_second = 0;
+  double cold_request_rate = 0;
   boost::asio::io_context io{1};
   platform::PlatformCalls protocol;
   ServerDirectory directory;
--- a/tests/platform/processes_fixture.h
+++ b/tests/platform/processes_fixture.h
@@ -108,8 +108,8 @@
                       {{{"name", "s"}, {"max_conns", 10}},
                        {{"name", "m"}, {"max_conns", 10}}}}};
     if (!plan_limits.is_null()) document["limits"] = plan_limits;
-    if (cold_per_second > 0) {
-      document["services"][0]["cold_per_s"] = cold_per_second;
+    if (cold_request_rate > 0) {
+      document["services"][0]["cold_per_s"] = cold_request_rate;
     }
     Fleet::Await("the plan is accepted", [&] {
       return Call(control_address, "POST", "/api/config/put", document.dump())
@@ -162,7 +162,7 @@
   std::string server_zone = "z";
   int cold_left_ms = 0;
   // Requests a second that cold servers of service "s" take; zero for no limit.
-  double cold_per_second = 0;
+  double cold_request_rate = 0;
   json control_settings;
   json entry_settings;
   int sequence = 0;
--- a/tests/platform/zones_and_cold_processes_test.cc
+++ b/tests/platform/zones_and_cold_processes_test.cc
@@ -66,7 +66,7 @@
 BOOST_AUTO_TEST_CASE(RestartedEntryLimitsRequestsToColdServer) {
   ProcessesFixture fixture(8.0, true,
                            {{"cold_overage", 1.5}, {"cold_slack", 5}});
-  fixture.cold_per_second = 1;
+  fixture.cold_request_rate = 1;
   // Longer than any run of this test.
   fixture.cold_left_ms = 600000;
   fixture.SetUpService();
