--- a/src/core/fleet/performance_feed.cc
+++ b/src/core/fleet/performance_feed.cc
@@ -52,7 +52,7 @@
 // A report of 40 servers takes up to 920 bytes. In large fleets reports are
 // shorter, since a control process receives those of many entries.
 constexpr std::size_t kMaxReportedServers = 40;
-constexpr std::size_t kMinReportedServers = 8;
+constexpr std::size_t kMinReportedServers = 7;
 constexpr std::size_t kFewEntries = 32;
 // CBOR needs five bytes for a key and up to three for each other number.
 constexpr std::size_t kBytesPerServer = 11;
