fleet: Send the records of cold servers on each new connection

A gap that fits: digests do not cover that a server is cold, so an entry or a control process that was not connected when a server became cold again never learned it. Change: a control process sends the records of all cold servers on each new connection; a finding of the soak says when calls to the server were last held back. Result: ReconnectedEntryLearnsThatServerIsCold waits for ever without the change and passes with it.

--- a/include/coltsfootfork/core/fleet/server_directory.h
+++ b/include/coltsfootfork/core/fleet/server_directory.h
@@ -95,6 +95,9 @@
   // Returns the records of the servers that are draining or removed.
   std::vector<ServerRecord> Departures(Time now) const;
   std::vector<ServerRecord> RemovedRecords(Time now) const;
+  // Returns the records of the servers that are still slow after their start.
+  // Digests do not cover that.
+  std::vector<ServerRecord> ColdRecords(Time now) const;
   // Returns the records of the buckets whose digests differ from the given
   // ones, or all records if the number of digests differs from the number of
   // buckets. Returns all removed records too if their digest differs from
--- a/soak/arrival_checker.cc
+++ b/soak/arrival_checker.cc
@@ -61,6 +61,17 @@
                       " ms after its evacuation was acknowledged");
 }
 
+std::string ArrivalChecker::SinceHeldBack(const std::string& server,
+                                          Time now) const {
+  const auto found = held_back_until_.find(server);
+  if (found == held_back_until_.end() || found->second == Time()) {
+    return "no calls to it were held back";
+  }
+  const auto since =
+      std::chrono::duration_cast<milliseconds>(now - found->second);
+  return std::to_string(since.count()) + " ms after calls to it were held back";
+}
+
 void ArrivalChecker::CheckCold(const std::string& server,
                                const std::string& call, Time now) {
   const auto found = cold_.find(server);
@@ -75,7 +86,8 @@
   const double bound = limit_.per_second * limit_.overage + limit_.slack;
   if (static_cast<double>(arrivals.size()) <= bound) return;
   findings_.push_back(call + ": call " + std::to_string(arrivals.size()) +
-                      " in a second at " + server + ", which is cold");
+                      " in a second at " + server + ", which is cold, " +
+                      SinceHeldBack(server, now));
   // The same calls are not reported again.
   arrivals.clear();
 }
--- a/soak/arrival_checker.h
+++ b/soak/arrival_checker.h
@@ -55,6 +55,8 @@
     std::deque<Time> arrivals;
   };
 
+  // Describes when calls to the server were last held back, for findings.
+  std::string SinceHeldBack(const std::string& server, Time now) const;
   void CheckCold(const std::string& server, const std::string& call, Time now);
 
   SoakColdLimit limit_;
--- a/src/core/fleet/server_directory.cc
+++ b/src/core/fleet/server_directory.cc
@@ -202,6 +202,16 @@
       now);
 }
 
+std::vector<ServerRecord> ServerDirectory::ColdRecords(Time now) const {
+  std::vector<ServerRecord> records;
+  for (const auto& [id, entry] : entries_) {
+    const bool is_cold = entry.record.state == ServerState::kReady &&
+                         WarmupRemaining(entry, now).count() > 0;
+    if (is_cold) records.push_back(ToRecord(entry, now));
+  }
+  return records;
+}
+
 std::vector<ServerRecord> ServerDirectory::RemovedRecords(Time now) const {
   return RecordsIf(
       [](const ServerRecord& record) {
--- a/src/shell/fleet/control_node.cc
+++ b/src/shell/fleet/control_node.cc
@@ -167,6 +167,8 @@
       if (hello->accepts_parts) incoming.link->AllowParts();
       // The entry itself requests the missing part of the directory.
       Send(*incoming.link, LivePeers(now));
+      // The entry may have missed them while it was not connected.
+      Send(*incoming.link, DirectoryUpdate{0, directory_.ColdRecords(now)});
     } else {
       AddPeer(hello->from);
     }
@@ -214,7 +216,9 @@
     SendTo(peer,
            Hello{options_.self, /*is_entry=*/false, /*accepts_parts=*/true});
     // The peer may have restarted and not know how old its records are.
-    SendTo(peer, DirectoryUpdate{0, directory_.RemovedRecords(MonotonicNow())});
+    const Time connected_at = MonotonicNow();
+    SendTo(peer, DirectoryUpdate{0, directory_.RemovedRecords(connected_at)});
+    SendTo(peer, DirectoryUpdate{0, directory_.ColdRecords(connected_at)});
   };
   // A peer sends its messages on the link that it opened itself.
   events.on_frame = [](const std::string& /*frame*/) {};
--- a/tests/platform/evacuations_test.cc
+++ b/tests/platform/evacuations_test.cc
@@ -159,5 +159,39 @@
   BOOST_TEST(known.revision == 2U);
 }
 
+// Guards against an entry that was not connected when a server became cold
+// again: the digests of the directories do not differ.
+BOOST_AUTO_TEST_CASE(ReconnectedEntryLearnsThatServerIsCold) {
+  ControlGroup group(1, 1);
+  group.PutUntilAccepted(0, 5);
+  BOOST_TEST(group.Heartbeat(0, "i-1", 1, "ready") == 200);
+  std::chrono::milliseconds cold_for{0};
+  ControlSubscriberEvents events;
+  events.on_plan = [](const PlanDocument& /*plan*/) {};
+  events.on_directory = [&](const ServerDirectory& directory) {
+    const auto* entry = directory.Find(ServerId("i-1"));
+    if (entry != nullptr) cold_for = entry->record.warmup_remaining;
+  };
+  events.on_usage = [](const FleetLoad& /*others*/,
+                       const FleetDemand& /*demand*/,
+                       std::uint32_t /*entries*/) {};
+  events.own_load = [] { return FleetLoad(); };
+  events.own_demand = [] { return FleetDemand(); };
+  ControlSubscriber subscriber(
+      group.io, {"entry-1", {group.processes[0].address}, 7}, events);
+  group.RunUntil([&] { return subscriber.has_synced(); });
+  BOOST_TEST(cold_for.count() == 0);
+  group.RestartAll();
+  const nlohmann::json heartbeat = {
+      {"service", "s"},        {"address", "127.0.0.1:9"},
+      {"state", "ready"},      {"sequence", 2},
+      {"born", 1000},          {"slots", 4},
+      {"cold_left_ms", 600000}};
+  BOOST_TEST(
+      group.Call(0, "POST", "/api/instances/i-1/heartbeat", heartbeat.dump())
+          .status == 200);
+  group.RunUntil([&] { return cold_for.count() > 0; });
+}
+
 }  // namespace
 }  // namespace coltsfootfork::platform
