--- a/review/7/case-2.cc
+++ b/review/7/case-2.cc
@@ -40,6 +40,7 @@
   review::Record record(review::Variable("RECORD", "record.txt"));
   review::Deployment deployment(record);
   review::Engine engine(record, "i-1", "127.0.31.20");
+  engine.Run();
   deployment.Start();
   deployment.Put(kPlan);
   deployment.Control(
--- a/review/8/case-2.cc
+++ b/review/8/case-2.cc
@@ -33,6 +33,8 @@
   review::Deployment deployment(record);
   review::Engine engine(record, "i-1", "127.0.31.20");
   review::Engine other(record, "i-2", "127.0.31.21");
+  engine.Run();
+  other.Run();
   deployment.Start();
   deployment.Put(kPlan);
   const std::int64_t now = review::UnixMilliseconds();
--- a/review/common-2/deployment.cc
+++ b/review/common-2/deployment.cc
@@ -354,7 +354,9 @@
     GiveUp("an engine cannot listen");
   }
   port_ = ntohs(address.sin_port);
-  // Ends with the process.
+}
+
+void Engine::Run() {
   std::thread([this] { Accept(); }).detach();
 }
 
@@ -424,27 +426,32 @@
     const std::string request_id = request.Field("request-id");
     const std::string instance = request.Field("expect-instance");
     request.at_ms = record_.Now();
-    std::string response;
     if (!instance.empty() && instance != id_) {
-      response =
+      const std::string refusal =
           "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + request_id +
           "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-    } else {
-      record_.Write("engine " + id_ + " runs " + request.method + " " +
-                    request.target + " of request " + request_id + ", " +
-                    std::to_string(request.body.size()) + " bytes of body");
-      {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        requests_.push_back(request);
-      }
-      const std::string body = "ran " + request_id;
-      response = "HTTP/1.1 200 OK\r\nRequest-Id: " + request_id +
-                 "\r\nResponse-Signature: " + id_ + "." + request_id +
-                 "\r\nContent-Length: " + std::to_string(body.size()) +
-                 "\r\n\r\n" + body;
+      if (!SendAll(descriptor, refusal)) return;
+      continue;
     }
-    if (!SendAll(descriptor, response)) return;
+    if (!Answer(descriptor, request)) return;
+  }
+}
+
+bool Engine::Answer(int descriptor, const ReceivedRequest& request) {
+  const std::string request_id = request.Field("request-id");
+  record_.Write("engine " + id_ + " runs " + request.method + " " +
+                request.target + " of request " + request_id + ", " +
+                std::to_string(request.body.size()) + " bytes of body");
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    requests_.push_back(request);
   }
+  const std::string body = "ran " + request_id;
+  return SendAll(descriptor,
+                 "HTTP/1.1 200 OK\r\nRequest-Id: " + request_id +
+                     "\r\nResponse-Signature: " + id_ + "." + request_id +
+                     "\r\nContent-Length: " + std::to_string(body.size()) +
+                     "\r\n\r\n" + body);
 }
 
 }  // namespace review
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -111,6 +111,12 @@
 class Engine {
  public:
   Engine(Record& record, std::string id, std::string ip);
+  virtual ~Engine() = default;
+  Engine(const Engine&) = delete;
+  Engine& operator=(const Engine&) = delete;
+
+  // Serves until the program ends.
+  void Run();
 
   std::string address() const;
   const std::string& id() const { return id_; }
@@ -120,6 +126,12 @@
   std::string Heartbeat(const std::string& service, const std::string& state,
                         std::int64_t born, int sequence) const;
 
+ protected:
+  // Answers a request that was sent to this engine. Returns whether the
+  // connection stays open.
+  virtual bool Answer(int descriptor, const ReceivedRequest& request);
+  Record& record() { return record_; }
+
  private:
   void Accept();
   void Serve(int descriptor);
