--- a/review/common-2/deployment.cc
+++ b/review/common-2/deployment.cc
@@ -224,8 +224,8 @@
 }
 
 Deployment::~Deployment() {
-  for (const pid_t process : processes_) kill(process, SIGKILL);
-  for (const pid_t process : processes_) waitpid(process, nullptr, 0);
+  for (const Process& process : processes_) kill(process.pid, SIGKILL);
+  for (const Process& process : processes_) waitpid(process.pid, nullptr, 0);
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
@@ -253,7 +253,8 @@
          << ",\"metrics_listen\":" << at(metrics_ports_[index])
          << ",\"data_folder\":"
          << Quoted(folder_ + "/data-" + std::to_string(index))
-         << ",\"refuse_copies\":false,\"is_first_start\":true";
+         << ",\"refuse_copies\":false,\"is_first_start\":"
+         << (is_first_start_ ? "true" : "false");
   } else {
     text << ",\"callers_listen\":" << at(entry_port_)
          << ",\"ready_listen\":" << at(ready_port_)
@@ -291,15 +292,41 @@
     execve(program.c_str(), arguments, environment);
     std::_Exit(2);
   }
-  processes_.push_back(process);
+  processes_.push_back({role, index, process});
   record_.Write("started " + role + " " + std::to_string(index + 1));
 }
 
-void Deployment::Start() {
+void Deployment::Start(std::size_t entries) {
   for (std::size_t i = 0; i < std::size(kControlIps); ++i) {
     StartProcess("control", i);
   }
-  StartProcess("entry", 0);
+  is_first_start_ = false;
+  for (std::size_t i = 0; i < entries; ++i) StartProcess("entry", i);
+}
+
+std::vector<std::string> Deployment::RestartEnded() {
+  std::vector<Process> ended;
+  for (auto process = processes_.begin(); process != processes_.end();) {
+    int status = 0;
+    if (waitpid(process->pid, &status, WNOHANG) == 0) {
+      ++process;
+      continue;
+    }
+    record_.Write(process->role + " " + std::to_string(process->index + 1) +
+                  " has ended by itself, status " + std::to_string(status));
+    ended.push_back(*process);
+    process = processes_.erase(process);
+  }
+  std::vector<std::string> names;
+  for (const Process& process : ended) {
+    StartProcess(process.role, process.index);
+    names.push_back(process.role + " " + std::to_string(process.index + 1));
+  }
+  return names;
+}
+
+std::string Deployment::entry_ip(std::size_t entry) const {
+  return kControlIps[entry];
 }
 
 Response Deployment::Control(std::size_t index, const std::string& method,
@@ -324,12 +351,12 @@
   GiveUp("no desired state was acknowledged");
 }
 
-void Deployment::AwaitReady() {
+void Deployment::AwaitReady(std::size_t entry) {
   for (int i = 0; i < 200; ++i) {
-    const Response response = Call(entry_ip(), ready_port_, "GET",
+    const Response response = Call(entry_ip(entry), ready_port_, "GET",
                                    "/api/readyz", "Host: entry\r\n", "");
     if (response.status == 200) {
-      record_.Write("the entry is ready");
+      record_.Write("entry " + std::to_string(entry + 1) + " is ready");
       return;
     }
     Sleep(std::chrono::milliseconds(100));
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -66,18 +66,27 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
-  void Start();
+  void Start(std::size_t entries = 1);
+  // Starts the processes again that have ended by themselves, as the platform
+  // does. Returns the names of these.
+  std::vector<std::string> RestartEnded();
   // Puts a desired state until one control process acknowledges it.
   void Put(const std::string& plan);
-  void AwaitReady();
+  void AwaitReady(std::size_t entry = 0);
   // Calls the control process at `index`.
   Response Control(std::size_t index, const std::string& method,
                    const std::string& path, const std::string& body);
 
-  std::string entry_ip() const { return "127.0.31.1"; }
+  std::string entry_ip(std::size_t entry = 0) const;
   int entry_port() const { return entry_port_; }
 
  private:
+  struct Process {
+    std::string role;
+    std::size_t index = 0;
+    pid_t pid = 0;
+  };
+
   void StartProcess(const std::string& role, std::size_t index);
   std::string Settings(const std::string& role, std::size_t index) const;
 
@@ -88,7 +97,8 @@
   int control_port_;
   int fleet_port_;
   std::vector<int> metrics_ports_;
-  std::vector<pid_t> processes_;
+  std::vector<Process> processes_;
+  bool is_first_start_ = true;
 };
 
 // A port that was free on all addresses of the deployment a moment ago.
