--- a/review/common-2/deployment.cc
+++ b/review/common-2/deployment.cc
@@ -59,6 +59,12 @@
   return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
 }
 
+// The folder of the deployment, for the case that it can't go on.
+std::string& TemporaryFolder() {
+  static std::string folder;
+  return folder;
+}
+
 // Reads more bytes; returns false at the end of the connection.
 bool ReadMore(int descriptor, std::string& buffer) {
   char chunk[16384];
@@ -90,6 +96,10 @@
 
 void GiveUp(const std::string& reason) {
   std::fprintf(stderr, "could not run: %s\n", reason.c_str());
+  std::error_code ignored;
+  if (!TemporaryFolder().empty()) {
+    std::filesystem::remove_all(TemporaryFolder(), ignored);
+  }
   // The processes of the deployment are ended by their death signal.
   std::_Exit(2);
 }
@@ -220,6 +230,7 @@
   char folder[] = "/tmp/review-XXXXXX";
   if (mkdtemp(folder) == nullptr) GiveUp("no temporary folder");
   folder_ = folder;
+  TemporaryFolder() = folder_;
   for (int i = 0; i < 4; ++i) metrics_ports_.push_back(FreePort());
 }
 
