--- a/review/7/case-2.cc
+++ b/review/7/case-2.cc
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <string>
 
-#include "deployment.h"
+#include "deployment-2.h"
 
 namespace {
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p target/review-2
 for source in review/*/case-2.cc; do
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++17 -O1 -Wall -Wextra -pthread -Ireview/common-2 \
-    -o "target/review-2/case-$number" "$source" review/common-2/deployment.cc
+  g++ -std=c++17 -O1 -Wall -Wextra -pthread -Ireview \
+    -o "target/review-2/case-$number" "$source" review/deployment-2.cc
 done
--- a/review/common-2/deployment.cc
+++ b/review/deployment-2.cc
@@ -1,4 +1,4 @@
-#include "deployment.h"
+#include "deployment-2.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
