net: Reject bodies whose end is not known

What callers saw: a request with the Transfer-Encoding gzip, xchunked or "chunked, identity" and another request as its body got two responses. The engine ran both, the outer one with an empty body.

Cause: the parser of Boost.Beast takes a request whose last transfer coding is not chunked as one without a body, and nothing else looked at the field. The rest of the connection was then parsed as requests.

On that code the cases of request_framing_test.cc, ResponseWithOtherTransferCodingsIsMalformed and ResponseWithOtherTransferCodingsIsNotComplete fail.

Change: all readers of HTTP use MessageParser, with one rule for the coding: chunked alone, in HTTP/1.1, without a length. Requests get 400, or 501 if another coding precedes chunked, and the connection is closed; responses with other codings are broken, since their body would be forwarded without its coding. Trailer fields no longer become fields of a request's head. As the connection closes, no byte after the head can be read as a request.

--- a/src/adapters/engine_call.cc
+++ b/src/adapters/engine_call.cc
@@ -1,6 +1,5 @@
 #include "adapters/engine_call.h"
 
-#include <boost/beast/http/field.hpp>
 #include <utility>
 #include <variant>
 
@@ -10,8 +9,6 @@
 namespace coltsfootfork {
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -31,13 +28,13 @@
       on_message_(std::move(on_message)),
       on_finding_(std::move(on_finding)) {}
 
-void EngineCall::OnHead(const HttpResponseHead& head) {
-  status_ = static_cast<int>(head.result_int());
-  content_type_ = std::string(head[http::field::content_type]);
+void EngineCall::OnHead(const HttpResponse& head) {
+  status_ = head.status;
+  content_type_ = head.content_type;
   is_stream_ = kind_ == RequestKind::kGeneration && status_ == kOk;
-  is_delimited_ = !head[http::field::content_length].empty() ||
-                  !head[http::field::transfer_encoding].empty();
-  const auto response_request_id = head["X-Request-Id"];
+  is_delimited_ = !head.Field("Content-Length").empty() ||
+                  !head.Field("Transfer-Encoding").empty();
+  const std::string_view response_request_id = head.Field("X-Request-Id");
   if (!response_request_id.empty() && response_request_id != request_.value()) {
     Report("the answer names another request");
     status_ = 0;
--- a/src/adapters/engine_call.h
+++ b/src/adapters/engine_call.h
@@ -27,7 +27,7 @@
 
   // Callbacks of the HTTP call, in this order: the head, then the body any
   // number of times, then the end. OnBody returns false to abort the call.
-  void OnHead(const HttpResponseHead& head);
+  void OnHead(const HttpResponse& head);
   bool OnBody(std::string_view bytes);
   void OnEnd(HttpCallResult end);
   // Suppresses all further messages, including those for bytes already read.
--- a/src/adapters/engine_port.cc
+++ b/src/adapters/engine_port.cc
@@ -8,6 +8,8 @@
 #include <sstream>
 #include <utility>
 
+#include "shell/net/message_parser.h"
+
 namespace coltsfootfork {
 namespace {
 
@@ -17,7 +19,7 @@
 using nlohmann::json;
 
 constexpr unsigned kHttp11 = 11;
-constexpr std::uint32_t kMaxHeaderBytes = 8 << 10;
+constexpr std::size_t kMaxHeaderBytes = 8U << 10U;
 
 json ToProblem(http::status status, const Findings& findings) {
   json list = json::array();
@@ -48,9 +50,7 @@
   Session& operator=(const Session&) = delete;
 
   void Read() {
-    parser_.emplace();
-    parser_->header_limit(kMaxHeaderBytes);
-    parser_->body_limit(port_->limits_.max_body_bytes);
+    parser_.emplace(kMaxHeaderBytes, port_->limits_.max_body_bytes);
     stream_.expires_after(port_->limits_.timeout);
     http::async_read(
         stream_, buffer_, *parser_,
@@ -64,8 +64,9 @@
     if (!port_->on_call_) return;
     Findings findings;
     if (!error) {
-      Call(&findings);
-      return Write(parser_->get().keep_alive(), findings);
+      const bool keep_alive = parser_->keep_alive();
+      Call(parser_->TakeRequest(), &findings);
+      return Write(keep_alive, findings);
     }
     // Only malformed HTTP gets an error response. A closed or failed connection
     // is not an error of the backend server.
@@ -78,13 +79,9 @@
     Write(false, findings);
   }
 
-  void Call(Findings* findings) {
-    const auto& request = parser_->get();
-    if (request.method() != http::verb::post) {
-      findings->Add("", "is not a POST");
-    }
-    port_->on_call_({request.target().data(), request.target().size()},
-                    request.body(), findings);
+  void Call(const HttpRequest& request, Findings* findings) {
+    if (request.method != "POST") findings->Add("", "is not a POST");
+    port_->on_call_(request.target, request.body, findings);
   }
 
   void Write(bool keep_alive, const Findings& findings) {
@@ -109,7 +106,7 @@
   std::shared_ptr<EnginePort> port_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_{kMaxBufferBytes};
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<RequestParser> parser_;
   http::response<http::string_body> response_;
 };
 
--- a/src/adapters/http_call.cc
+++ b/src/adapters/http_call.cc
@@ -1,6 +1,7 @@
 #include "adapters/http_call.h"
 
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
@@ -10,8 +11,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint32_t kMaxHeaderBytes = 16 << 10;
-
 }  // namespace
 
 HttpCall::HttpCall(boost::asio::io_context& io, HttpCallRequest request,
@@ -20,14 +19,7 @@
       request_(std::move(request)),
       limits_(limits),
       handlers_(std::move(handlers)) {
-  parser_.header_limit(kMaxHeaderBytes);
   parser_.skip(request_.method() == http::verb::head);
-  // The length of a stream is not known in advance. The body handlers limit the
-  // size of the data that they keep.
-  parser_.body_limit(boost::none);
-  parser_.get().body().sink = [this](std::string_view bytes) {
-    return !closed_ && handlers_.on_body(bytes);
-  };
 }
 
 void HttpCall::Start(const boost::asio::ip::tcp::endpoint& server) {
@@ -54,32 +46,32 @@
                       if (error) {
                         return self->Finish(HttpCallResult::kInterrupted);
                       }
-                      self->ReadHead();
+                      self->Read();
                     });
 }
 
-void HttpCall::ReadHead() {
-  http::async_read_header(
+void HttpCall::Read() {
+  http::async_read_some(
       stream_, buffer_, parser_,
       [self = shared_from_this()](error_code error, std::size_t) {
-        if (error) return self->Finish(HttpCallResult::kInterrupted);
-        if (!self->closed_) {
-          self->handlers_.on_head(self->parser_.get().base());
-        }
-        self->ReadBody();
+        self->OnRead(error);
       });
 }
 
-void HttpCall::ReadBody() {
-  if (closed_) return Finish(HttpCallResult::kInterrupted);
+void HttpCall::OnRead(error_code error) {
+  // Bytes that precede a malformed part of the body are passed on.
+  if (!ReportProgress() || error) return Finish(HttpCallResult::kInterrupted);
   if (parser_.is_done()) return Finish(HttpCallResult::kComplete);
   stream_.expires_after(limits_.idle_timeout);
-  http::async_read_some(
-      stream_, buffer_, parser_,
-      [self = shared_from_this()](error_code error, std::size_t) {
-        if (error) return self->Finish(HttpCallResult::kInterrupted);
-        self->ReadBody();
-      });
+  Read();
+}
+
+bool HttpCall::ReportProgress() {
+  if (closed_) return false;
+  if (!parser_.is_header_done()) return true;
+  if (!std::exchange(head_reported_, true)) handlers_.on_head(parser_.head());
+  const std::string body = parser_.TakeBody();
+  return !closed_ && (body.empty() || handlers_.on_body(body)) && !closed_;
 }
 
 void HttpCall::Finish(HttpCallResult end) {
--- a/src/adapters/http_call.h
+++ b/src/adapters/http_call.h
@@ -5,7 +5,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstddef>
@@ -13,13 +12,12 @@
 #include <memory>
 #include <string_view>
 
-#include "adapters/sink_body.h"
+#include "shell/net/message_parser.h"
 
 namespace coltsfootfork {
 
 using HttpCallRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
-using HttpResponseHead = boost::beast::http::response_header<>;
 
 enum class HttpCallResult {
   // The complete response was received, delimited by its content length, by the
@@ -34,7 +32,7 @@
 };
 
 struct HttpCallHandlers {
-  std::function<void(const HttpResponseHead&)> on_head;
+  std::function<void(const HttpResponse&)> on_head;
   // Returning false aborts the call with kInterrupted.
   std::function<bool(std::string_view)> on_body;
   std::function<void(HttpCallResult)> on_end;
@@ -60,8 +58,10 @@
 
  private:
   void Write();
-  void ReadHead();
-  void ReadBody();
+  void Read();
+  void OnRead(boost::system::error_code error);
+  // Passes on what was parsed. Returns false if a handler has ended the call.
+  bool ReportProgress();
   void Finish(HttpCallResult end);
 
   boost::beast::tcp_stream stream_;
@@ -73,7 +73,8 @@
   HttpCallRequest request_;
   HttpCallLimits limits_;
   HttpCallHandlers handlers_;
-  boost::beast::http::response_parser<SinkBody> parser_;
+  ResponseParser parser_;
+  bool head_reported_ = false;
   // Close() only sets this flag and keeps the handlers until the pending
   // operation ends, because a handler may call Close().
   bool closed_ = false;
--- a/src/adapters/http_engine_adapter.cc
+++ b/src/adapters/http_engine_adapter.cc
@@ -128,9 +128,7 @@
         [this](EngineToAgent message) { Emit(std::move(message)); },
         [this](const Finding& finding) { Report(finding); });
     HttpCallHandlers handlers;
-    handlers.on_head = [call](const HttpResponseHead& head) {
-      call->OnHead(head);
-    };
+    handlers.on_head = [call](const HttpResponse& head) { call->OnHead(head); };
     handlers.on_body = [call](std::string_view bytes) {
       return call->OnBody(bytes);
     };
@@ -193,7 +191,7 @@
     const std::uint64_t id = ++last_short_call_;
     auto body = std::make_shared<std::string>();
     HttpCallHandlers handlers;
-    handlers.on_head = [](const HttpResponseHead&) {};
+    handlers.on_head = [](const HttpResponse&) {};
     handlers.on_body =
         [body, max = options_.max_event_bytes](std::string_view bytes) {
           body->append(bytes);
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -13,7 +13,7 @@
 #include "coltsfootfork/core/types/ids.h"
 #include "coltsfootfork/core/types/time.h"
 #include "shell/gateway/call_protocol.h"
-#include "shell/gateway/response_parser.h"
+#include "shell/net/message_parser.h"
 
 namespace coltsfootfork {
 
--- a/src/shell/net/http_client.cc
+++ b/src/shell/net/http_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "shell/net/ip_address.h"
+#include "shell/net/message_parser.h"
 
 namespace coltsfootfork {
 namespace {
@@ -70,15 +71,8 @@
 
   void OnRead(error_code error) {
     if (error) return Fail(error, /*never_sent=*/false);
-    auto message = parser_.release();
-    HttpResponse response;
-    response.status = static_cast<int>(message.result_int());
-    response.content_type = std::string(message[http::field::content_type]);
-    for (const auto& field : message) {
-      response.fields.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
-    response.body = std::move(message.body());
+    HttpResponse response = parser_.head();
+    response.body = parser_.TakeBody();
     stream_.close();
     done_({std::move(response), {}, false});
   }
@@ -91,7 +85,7 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_{kMaxBufferBytes};
   http::request<http::string_body> message_;
-  http::response_parser<http::string_body> parser_;
+  ResponseParser parser_;
   std::function<void(HttpFetchResult)> done_;
 };
 
--- a/src/shell/net/http_server.cc
+++ b/src/shell/net/http_server.cc
@@ -12,9 +12,8 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 constexpr std::string_view kBearer = "Bearer ";
 
-}  // namespace
-
-std::string_view HttpRequest::Field(std::string_view name) const {
+std::string_view FindField(const std::vector<HttpField>& fields,
+                           std::string_view name) {
   for (const HttpField& field : fields) {
     if (boost::beast::iequals(
             boost::beast::string_view(field.name),
@@ -25,6 +24,16 @@
   return {};
 }
 
+}  // namespace
+
+std::string_view HttpRequest::Field(std::string_view name) const {
+  return FindField(fields, name);
+}
+
+std::string_view HttpResponse::Field(std::string_view name) const {
+  return FindField(fields, name);
+}
+
 std::string_view HttpRequest::BearerToken() const {
   const std::string_view value = Field("Authorization");
   if (value.substr(0, kBearer.size()) != kBearer) return {};
--- a/src/shell/net/http_server.h
+++ b/src/shell/net/http_server.h
@@ -42,6 +42,10 @@
   std::string content_type;
   std::vector<HttpField> fields;
   std::string body;
+
+  // Returns the value of the first field with this name, ignoring case, or an
+  // empty view if there is none.
+  std::string_view Field(std::string_view name) const;
 };
 
 // One request and its response. The response is sent either at once with
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sstream>
 #include <utility>
@@ -37,18 +38,6 @@
 // Larger read buffers are released when the connection becomes idle.
 constexpr std::size_t kMaxIdleBufferBytes = 4U << 10U;
 
-HttpRequest ToRequest(http::request<http::string_body> message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
 template <typename Message>
 std::string ToText(const Message& message) {
   std::ostringstream out;
@@ -132,11 +121,7 @@
 
 void HttpSession::Read() {
   if (server_ == nullptr) return Close();
-  parser_.emplace();
-  parser_->header_limit(
-      static_cast<std::uint32_t>(server_->limits_.header_bytes));
-  parser_->body_limit(server_->limits_.body_bytes);
-  parser_->eager(true);
+  parser_.emplace(server_->limits_.header_bytes, server_->limits_.body_bytes);
   reading_body_ = false;
   buffer_.max_size(std::max(server_->limits_.header_bytes, kMaxPipelinedBytes) +
                    kMaxFramingBytes);
@@ -168,8 +153,7 @@
       stream_.expires_after(server_->limits_.body_timeout);
     }
     connections_->SetReadingBytes(
-        connection_id_,
-        server_->limits_.header_bytes + parser_->get().body().size(),
+        connection_id_, server_->limits_.header_bytes + parser_->body_bytes(),
         MonotonicNow());
     if (state_ == State::kClosed) return;
   }
@@ -183,7 +167,7 @@
   state_ = State::kHandling;
   keep_alive_ = keep_alive_ && parser_->keep_alive() && server_->keep_alive_;
   WatchForDisconnect();
-  server_->handler_(ToRequest(parser_->release()), shared_from_this());
+  server_->handler_(parser_->TakeRequest(), shared_from_this());
 }
 
 void HttpSession::RespondToBadRequest(error_code error) {
@@ -192,6 +176,8 @@
     status = 413;
   } else if (error == http::error::header_limit) {
     status = 431;
+  } else if (parser_->has_unsupported_coding()) {
+    status = 501;
   } else if (error.category() ==
                  make_error_code(http::error::bad_method).category() &&
              error != http::error::end_of_stream &&
--- a/src/shell/net/http_session.h
+++ b/src/shell/net/http_session.h
@@ -3,8 +3,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -17,6 +15,7 @@
 #include "coltsfootfork/core/types/time.h"
 #include "shell/net/connection_table.h"
 #include "shell/net/http_server.h"
+#include "shell/net/message_parser.h"
 
 namespace coltsfootfork {
 
@@ -52,9 +51,6 @@
  private:
   enum class State { kReading, kHandling, kStreaming, kClosed };
 
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   // Waits for the first byte of a request before a read buffer is allocated, so
   // that idle connections use no buffer memory.
   void AwaitRequest();
@@ -91,7 +87,7 @@
   boost::asio::steady_timer idle_timer_;
   bool idle_ = false;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<RequestParser> parser_;
   bool reading_body_ = false;
   State state_ = State::kReading;
   bool keep_alive_ = true;
--- /dev/null
+++ b/src/shell/net/http_syntax.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string_view>
+
+// Rules of HTTP/1.1 framing (RFC 9112) that the parser of Boost.Beast does not
+// check. MessageParser applies them to all messages that a process reads.
+namespace coltsfootfork {
+
+// What the Transfer-Encoding fields of a message say of its body.
+enum class TransferCoding {
+  // The body is chunked and not encoded otherwise.
+  kChunked = 0,
+  // The end of the body is known, as chunked is its last coding, but it has
+  // other codings too.
+  kUnsupported,
+  // The end of the body cannot be determined.
+  kUndelimited,
+};
+
+// Reads the values of all Transfer-Encoding fields of a message, joined by
+// commas. Codings are compared without regard to case; empty list elements are
+// ignored.
+TransferCoding ReadTransferCoding(std::string_view value);
+
+}  // namespace coltsfootfork
--- a/tests/adapters/engine_port_test.cc
+++ b/tests/adapters/engine_port_test.cc
@@ -49,6 +49,22 @@
   BOOST_TEST(messages.size() == 1U);
 }
 
+// Guards against a call in the body of another one that takes effect.
+BOOST_FIXTURE_TEST_CASE(BodyWithoutKnownEndIsNotReadAsCalls, AdapterFixture) {
+  const std::string inner = Post(
+      "/engine/v1/load",
+      R"({"running_requests":1,"waiting_requests":2,"memory_used_tokens":3,)"
+      R"("preemptions":4})");
+  for (const char* coding : {"gzip", "gzip, chunked", "chunked, identity"}) {
+    const std::string response =
+        CallPort(std::string("POST /engine/v1/load HTTP/1.1\r\n"
+                             "Transfer-Encoding: ") +
+                 coding + "\r\n\r\n" + inner);
+    BOOST_TEST(response.substr(0, kBadRequest.size()) == kBadRequest);
+  }
+  BOOST_TEST(messages.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(MutatedCallsNeverStopThePort, AdapterFixture) {
   const std::string valid_call = Post(
       "/engine/v1/load",
--- a/tests/platform/close_delimiting_proxy.cc
+++ b/tests/platform/close_delimiting_proxy.cc
@@ -6,8 +6,8 @@
 #include <boost/beast/core/string.hpp>
 #include <utility>
 
-#include "shell/gateway/response_parser.h"
 #include "shell/net/ip_address.h"
+#include "shell/net/message_parser.h"
 
 namespace coltsfootfork {
 
--- a/tests/platform/response_end_test.cc
+++ b/tests/platform/response_end_test.cc
@@ -40,15 +40,15 @@
   return bytes + "0\r\n\r\n";
 }
 
-// What the caller receives of a response; nullopt if it is incomplete.
-std::optional<HttpResponse> FetchThroughGateway(
-    const std::string& path, Framing framing, const std::string& type,
-    const std::string& body, std::size_t missing_bytes, bool reset) {
+// What the caller receives if a server responds with the bytes that `respond`
+// returns and closes the connection; nullopt if that is incomplete.
+std::optional<HttpResponse> FetchBytes(
+    const std::string& path,
+    const std::function<std::string(const std::string& request)>& respond,
+    bool reset = false) {
   GatewayFixture fixture;
   ScriptedServer server(fixture.io, [&](const std::string& request, int) {
-    std::string bytes = MakeResponse(request, framing, type, body);
-    bytes.resize(bytes.size() - missing_bytes);
-    return ScriptedResponse{bytes, /*close=*/true, reset};
+    return ScriptedResponse{respond(request), /*close=*/true, reset};
   });
   fixture.SetPlan();
   const bool is_engine = path == "/talk/1";
@@ -57,6 +57,20 @@
                                  : fixture.Request(path, "r1"));
 }
 
+// What the caller receives of a response; nullopt if it is incomplete.
+std::optional<HttpResponse> FetchThroughGateway(
+    const std::string& path, Framing framing, const std::string& type,
+    const std::string& body, std::size_t missing_bytes, bool reset) {
+  return FetchBytes(
+      path,
+      [&](const std::string& request) {
+        std::string bytes = MakeResponse(request, framing, type, body);
+        bytes.resize(bytes.size() - missing_bytes);
+        return bytes;
+      },
+      reset);
+}
+
 bool IsCompleteSuccess(const std::optional<HttpResponse>& response) {
   return response && response->status == 200;
 }
@@ -131,6 +145,25 @@
   }
 }
 
+// Guards against a body that is forwarded without a coding that it has.
+BOOST_AUTO_TEST_CASE(ResponseWithOtherTransferCodingsIsNotComplete) {
+  for (const char* fields :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n"}) {
+    for (const char* path : {"/talk/1", "/sale/1"}) {
+      for (const char* type : {kEventStream, "text/plain"}) {
+        BOOST_TEST(!IsCompleteSuccess(
+            FetchBytes(path, [&](const std::string& request) {
+              return "HTTP/1.1 200 OK\r\nRequest-Id: " + IdOf(request) +
+                     "\r\nResponse-Signature: s\r\nContent-Type: " + type +
+                     "\r\n" + fields + "\r\n1e\r\n" + kEvents + "\r\n0\r\n\r\n";
+            })));
+      }
+    }
+  }
+}
+
 // A resumable stream whose first server breaks off inside an event.
 std::optional<HttpResponse> FetchResumed(
     const std::function<std::string(const std::string& request)>& rest,
--- /dev/null
+++ b/tests/shell/net/http_client_test.cc
@@ -0,0 +1,69 @@
+#include "shell/net/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "platform/scripted_server.h"
+#include "shell/net/ip_address.h"
+
+// Which bytes from a server are a response.
+namespace coltsfootfork {
+namespace {
+
+// Fetches from a server that responds with these bytes and closes the
+// connection. Returns nullopt if they are no response.
+std::optional<HttpResponse> Fetch(const std::string& bytes) {
+  boost::asio::io_context io;
+  ScriptedServer server(io, [&](const std::string&, int) {
+    return ScriptedResponse{bytes, /*close=*/true, /*reset=*/false};
+  });
+  std::optional<HttpFetchResult> result;
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  HttpFetch(io, ParseEndpoint(server.address()).value(), request,
+            std::chrono::seconds(20),
+            [&](HttpFetchResult fetched) { result = std::move(fetched); });
+  while (!result) BOOST_REQUIRE(io.run_one() > 0);
+  return result->response;
+}
+
+BOOST_AUTO_TEST_CASE(ResponseIsReadInEachFraming) {
+  for (const char* rest :
+       {"Content-Length: 4\r\n\r\nbody",
+        "Transfer-Encoding: Chunked\r\n\r\n2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\n"
+        "X-Trailer: t\r\n\r\n",
+        "\r\nbody"}) {
+    const auto response =
+        Fetch(std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                          "X-Field: value\r\n") +
+              rest);
+    BOOST_REQUIRE_MESSAGE(response.has_value(), rest);
+    BOOST_TEST(response->status == 200);
+    BOOST_TEST(response->content_type == "text/plain");
+    BOOST_TEST(response->Field("x-field") == "value");
+    BOOST_TEST(response->Field("X-Trailer") == "");
+    BOOST_TEST(response->body == "body");
+  }
+}
+
+// Guards against a body that is taken without a coding that it has, or to the
+// end of the connection although it has a length.
+BOOST_AUTO_TEST_CASE(ResponseWithOtherTransferCodingsIsMalformed) {
+  for (const char* fields :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
+    BOOST_TEST(!Fetch(std::string("HTTP/1.1 200 OK\r\n") + fields +
+                      "\r\n4\r\nbody\r\n0\r\n\r\n"));
+  }
+  BOOST_TEST(
+      !Fetch("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\nbody\r\n0\r\n\r\n"));
+}
+
+}  // namespace
+}  // namespace coltsfootfork
