net: Write messages of any field size

What callers saw: a request with a field of 64 KiB, below the header_bytes of the plan, ended the entry's process, and its repeat the next one's; requests of other callers that engines were running lost their connections.

Cause: the message types of Boost.Beast throw an exception for a field of 65,534 bytes or more, which nothing caught. They held the fields of requests that are read, of requests to engines, of responses to callers, and of the calls of HttpFetch.

No type with a limit of its own holds the fields any more, so that header_bytes alone decides.

--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -5,8 +5,8 @@
 
 #include "shell/clock/monotonic_now.h"
 #include "shell/gateway/refusal_response.h"
-#include "shell/gateway/request_serializer.h"
 #include "shell/log/event.h"
+#include "shell/net/message_serializer.h"
 
 namespace coltsfootfork {
 namespace {
--- a/src/shell/net/http_client.cc
+++ b/src/shell/net/http_client.cc
@@ -1,16 +1,18 @@
 #include "shell/net/http_client.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "shell/net/ip_address.h"
 #include "shell/net/message_parser.h"
+#include "shell/net/message_serializer.h"
 
 namespace coltsfootfork {
 namespace {
@@ -18,7 +20,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr unsigned kHttp11 = 11;
 constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
 // More than a response's head. Limits the framing between the parts of a body,
 // which the parser does not limit by itself.
@@ -32,16 +33,12 @@
 
   void Start(const boost::asio::ip::tcp::endpoint& server,
              const HttpRequest& request, std::chrono::milliseconds timeout) {
-    message_.version(kHttp11);
-    message_.method_string(request.method);
-    message_.target(request.target);
-    message_.set(http::field::host, FormatEndpoint(server));
-    for (const HttpField& field : request.fields) {
-      message_.set(field.name, field.value);
+    std::vector<HttpField> fields = request.fields;
+    if (request.Field("Host").empty()) {
+      fields.push_back({"Host", FormatEndpoint(server)});
     }
-    message_.keep_alive(false);
-    message_.body() = request.body;
-    message_.prepare_payload();
+    fields.push_back({"Connection", "close"});
+    text_ = SerializeRequest(request, fields);
     parser_.body_limit(kMaxResponseBytes);
     stream_.expires_after(timeout);
     stream_.async_connect(server,
@@ -53,8 +50,8 @@
  private:
   void OnConnected(error_code error) {
     if (error) return Fail(error, /*never_sent=*/true);
-    http::async_write(
-        stream_, message_,
+    boost::asio::async_write(
+        stream_, boost::asio::buffer(text_),
         [self = shared_from_this()](error_code write_error, std::size_t) {
           self->OnWritten(write_error);
         });
@@ -84,7 +81,7 @@
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_{kMaxBufferBytes};
-  http::request<http::string_body> message_;
+  std::string text_;
   ResponseParser parser_;
   std::function<void(HttpFetchResult)> done_;
 };
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -4,16 +4,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
-#include <sstream>
 #include <utility>
 
 #include "shell/clock/monotonic_now.h"
 #include "shell/net/ip_address.h"
+#include "shell/net/message_serializer.h"
 #include "shell/net/socket_progress.h"
 
 namespace coltsfootfork {
@@ -23,7 +19,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr unsigned kHttp11 = 11;
 // Bytes of pipelined requests to buffer while a response is in progress; the
 // session does not read more until the response is complete. One request header
 // fits.
@@ -38,13 +33,6 @@
 // Larger read buffers are released when the connection becomes idle.
 constexpr std::size_t kMaxIdleBufferBytes = 4U << 10U;
 
-template <typename Message>
-std::string ToText(const Message& message) {
-  std::ostringstream out;
-  out << message;
-  return out.str();
-}
-
 }  // namespace
 
 HttpSession::HttpSession(HttpServer* server, asio::ip::tcp::socket socket)
@@ -229,37 +217,14 @@
 
 void HttpSession::Respond(HttpResponse response) {
   if (state_ != State::kHandling) return;
-  http::response<http::string_body> message;
-  message.version(kHttp11);
-  message.result(static_cast<unsigned>(response.status));
-  if (!response.content_type.empty()) {
-    message.set(http::field::content_type, response.content_type);
-  }
-  for (const HttpField& field : response.fields) {
-    message.insert(field.name, field.value);
-  }
-  message.keep_alive(UpdateKeepAlive());
-  message.body() = std::move(response.body);
-  message.prepare_payload();
   response_complete_ = true;
-  Queue(ToText(message));
+  Queue(SerializeResponse(response, UpdateKeepAlive()));
 }
 
 void HttpSession::StartStream(HttpResponse head) {
   if (state_ != State::kHandling) return;
   state_ = State::kStreaming;
-  http::response<http::empty_body> header;
-  header.version(kHttp11);
-  header.result(static_cast<unsigned>(head.status));
-  if (!head.content_type.empty()) {
-    header.set(http::field::content_type, head.content_type);
-  }
-  for (const HttpField& field : head.fields) {
-    header.insert(field.name, field.value);
-  }
-  header.keep_alive(UpdateKeepAlive());
-  header.chunked(true);
-  Queue(ToText(header.base()));
+  Queue(SerializeChunkedHead(head, UpdateKeepAlive()));
 }
 
 void HttpSession::WriteChunk(std::string_view bytes) {
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -351,5 +351,32 @@
   BOOST_TEST(fixture.gateway.open_calls() == 0U);
 }
 
+// Guards against a field below the limit of the head that ends the process when
+// it is forwarded.
+BOOST_AUTO_TEST_CASE(LongFieldIsForwardedWhole) {
+  GatewayFixture fixture;
+  HttpLimits limits;
+  limits.header_bytes = 128U << 10U;
+  fixture.callers.SetLimits(limits);
+  std::string forwarded;
+  ScriptedServer server(fixture.io, [&](const std::string& request, int) {
+    forwarded = request;
+    return ScriptedResponse{
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
+        "Content-Length: 2\r\n\r\nok",
+        false, false};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  HttpRequest request = fixture.Request("/stock/1", "r1");
+  const std::string value(100'000, 'v');
+  request.fields.push_back({"X-Long", value});
+  const auto response = fixture.Fetch(request);
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->status == 200);
+  BOOST_TEST(forwarded.find("\r\nX-Long: " + value + "\r\n") !=
+             std::string::npos);
+}
+
 }  // namespace
 }  // namespace coltsfootfork
