gateway: Do not complete a response whose request could not be written

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the caller got that part as a complete response.

Cause: a socket reports a reset only once. While the request is being written, the write gets the error, and the read after it returns the end of the connection as if the server had closed it in order. Errors of the write were ignored.

Change: ServerConnection remembers that the write failed; a response that ends with its connection is broken then. Responses with a length or chunks, and those whose server closes its side in order during the upload, are delivered as before (WholeResponseToAnUploadIsDelivered passed before, too). Other readers start to read only when the request is written.

--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -75,6 +75,7 @@
   parser_.emplace();
   outgoing_ = std::move(bytes);
   writing_ = true;
+  write_failed_ = false;
   auto on_written = std::move(events_.on_written);
   asio::async_write(
       socket_, asio::buffer(outgoing_),
@@ -82,9 +83,10 @@
           error_code error, std::size_t) {
         self->outgoing_ = std::string();
         if (on_written) on_written();
-        // A write error is handled by the read, since a response
-        // that arrived before the error may still be unread.
-        if (!error) self->writing_ = false;
+        // The read handles a failure, since a response that arrived before it
+        // may still be unread.
+        self->writing_ = false;
+        self->write_failed_ = static_cast<bool>(error);
       });
   Read();
 }
@@ -134,8 +136,11 @@
   if (!busy_) return Close();
   if (!Parse()) return;
   if (!error) return Read();
-  const bool ends_with_connection =
-      error == asio::error::eof && head_reported_ && parser_->need_eof();
+  // The socket reports a reset only once. If a write got it, reads end as if
+  // the server had closed the connection in order.
+  const bool ends_with_connection = error == asio::error::eof &&
+                                    head_reported_ && parser_->need_eof() &&
+                                    !write_failed_;
   if (!ends_with_connection) return Fail();
   error_code parse_error;
   parser_->put_eof(parse_error);
@@ -205,7 +210,7 @@
 
 void ServerConnection::OnComplete(ExchangeEnd end) {
   const bool reusable = !parser_->need_eof() && parser_->keep_alive() &&
-                        buffer_.size() == 0 && !writing_;
+                        buffer_.size() == 0 && !writing_ && !write_failed_;
   ExchangeEvents events = std::move(events_);
   events_ = ExchangeEvents();
   busy_ = false;
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -105,6 +105,8 @@
   bool open_ = false;
   bool busy_ = false;
   bool writing_ = false;
+  // The request of this exchange was not written to its end.
+  bool write_failed_ = false;
   bool reading_ = false;
   bool read_paused_ = false;
   // The current response is interim or belongs to another call.
--- a/src/shell/net/message_serializer.h
+++ b/src/shell/net/message_serializer.h
@@ -14,7 +14,7 @@
 // Returns a request: the method, target and body of `request`, with the given
 // header fields and, if a body may be expected, a Content-Length.
 std::string SerializeRequest(const HttpRequest& request,
-                         const std::vector<HttpField>& fields);
+                             const std::vector<HttpField>& fields);
 
 // Returns a whole response with its Content-Length. If the status allows no
 // body, it has neither. `keep_alive` tells the peer whether the connection
