net: Reject responses without a valid status

What callers saw: a response with the status 600 or 999 was forwarded. One with 000 or 101 was taken for an interim response, so that the call waited for another one until its deadline. Through agents, 600 to 999 and interim responses reached the caller as the final one.

Cause: the parser of Boost.Beast accepts any three digits, and each reader had its own idea of which numbers are final.

Change: ResponseParser rejects statuses below 100, above 599, and 101, which no request asks for, and tells interim responses from final ones. HttpFetch and HttpCall skip interim responses. The response breaks off with the status line, so that nothing of it can reach a caller.

--- a/src/adapters/http_call.cc
+++ b/src/adapters/http_call.cc
@@ -18,9 +18,7 @@
     : stream_(io),
       request_(std::move(request)),
       limits_(limits),
-      handlers_(std::move(handlers)) {
-  parser_.skip(request_.method() == http::verb::head);
-}
+      handlers_(std::move(handlers)) {}
 
 void HttpCall::Start(const boost::asio::ip::tcp::endpoint& server) {
   stream_.expires_after(limits_.connect_timeout);
@@ -46,13 +44,19 @@
                       if (error) {
                         return self->Finish(HttpCallResult::kInterrupted);
                       }
-                      self->Read();
+                      self->ReadResponse();
                     });
 }
 
+void HttpCall::ReadResponse() {
+  parser_.emplace();
+  parser_->skip(request_.method() == http::verb::head);
+  Read();
+}
+
 void HttpCall::Read() {
   http::async_read_some(
-      stream_, buffer_, parser_,
+      stream_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) {
         self->OnRead(error);
       });
@@ -61,16 +65,19 @@
 void HttpCall::OnRead(error_code error) {
   // Bytes that precede a malformed part of the body are passed on.
   if (!ReportProgress() || error) return Finish(HttpCallResult::kInterrupted);
-  if (parser_.is_done()) return Finish(HttpCallResult::kComplete);
+  // Interim responses do not extend the time for the final one.
+  const bool is_interim = parser_->is_header_done() && parser_->is_interim();
+  if (is_interim) return ReadResponse();
+  if (parser_->is_done()) return Finish(HttpCallResult::kComplete);
   stream_.expires_after(limits_.idle_timeout);
   Read();
 }
 
 bool HttpCall::ReportProgress() {
   if (closed_) return false;
-  if (!parser_.is_header_done()) return true;
-  if (!std::exchange(head_reported_, true)) handlers_.on_head(parser_.head());
-  const std::string body = parser_.TakeBody();
+  if (!parser_->is_header_done() || parser_->is_interim()) return true;
+  if (!std::exchange(head_reported_, true)) handlers_.on_head(parser_->head());
+  const std::string body = parser_->TakeBody();
   return !closed_ && (body.empty() || handlers_.on_body(body)) && !closed_;
 }
 
--- a/src/adapters/http_call.h
+++ b/src/adapters/http_call.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "shell/net/message_parser.h"
@@ -58,6 +59,8 @@
 
  private:
   void Write();
+  // Reads the next response, interim or final.
+  void ReadResponse();
   void Read();
   void OnRead(boost::system::error_code error);
   // Passes on what was parsed. Returns false if a handler has ended the call.
@@ -73,7 +76,7 @@
   HttpCallRequest request_;
   HttpCallLimits limits_;
   HttpCallHandlers handlers_;
-  ResponseParser parser_;
+  std::optional<ResponseParser> parser_;
   bool head_reported_ = false;
   // Close() only sets this flag and keeps the handlers until the pending
   // operation ends, because a handler may call Close().
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -194,10 +194,8 @@
 bool ServerConnection::OnHead() {
   const HttpResponse& head = parser_->head();
   const ResponseHead facts = protocol_.ReadResponseHead(head);
-  // An interim response (1xx) precedes the final one.
-  constexpr int kFirstFinalStatus = 200;
   const bool is_other_call = !facts.id.empty() && facts.id != id_;
-  if (is_other_call || head.status < kFirstFinalStatus) {
+  if (is_other_call || parser_->is_interim()) {
     skipping_ = true;
     return true;
   }
--- a/src/shell/net/http_client.cc
+++ b/src/shell/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,7 +40,6 @@
     }
     fields.push_back({"Connection", "close"});
     text_ = SerializeRequest(request, fields);
-    parser_.body_limit(kMaxResponseBytes);
     stream_.expires_after(timeout);
     stream_.async_connect(server,
                           [self = shared_from_this()](error_code error) {
@@ -59,8 +59,14 @@
 
   void OnWritten(error_code error) {
     if (error) return Fail(error, /*never_sent=*/false);
+    Read();
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxResponseBytes);
     http::async_read(
-        stream_, buffer_, parser_,
+        stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code read_error, std::size_t) {
           self->OnRead(read_error);
         });
@@ -68,8 +74,9 @@
 
   void OnRead(error_code error) {
     if (error) return Fail(error, /*never_sent=*/false);
-    HttpResponse response = parser_.head();
-    response.body = parser_.TakeBody();
+    if (parser_->is_interim()) return Read();
+    HttpResponse response = parser_->head();
+    response.body = parser_->TakeBody();
     stream_.close();
     done_({std::move(response), {}, false});
   }
@@ -82,7 +89,7 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_{kMaxBufferBytes};
   std::string text_;
-  ResponseParser parser_;
+  std::optional<ResponseParser> parser_;
   std::function<void(HttpFetchResult)> done_;
 };
 
--- a/src/shell/net/http_syntax.cc
+++ b/src/shell/net/http_syntax.cc
@@ -7,6 +7,10 @@
 
 constexpr std::string_view kBlanks = " \t";
 constexpr std::string_view kChunkedName = "chunked";
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstStatus = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 std::string_view Trim(std::string_view text) {
   const std::size_t first = text.find_first_not_of(kBlanks);
@@ -39,4 +43,11 @@
   return has_others ? TransferCoding::kUnsupported : TransferCoding::kChunked;
 }
 
+bool IsResponseStatus(int status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
+bool IsInterimStatus(int status) { return status < kFirstFinalStatus; }
+
 }  // namespace coltsfootfork
--- a/src/shell/net/http_syntax.h
+++ b/src/shell/net/http_syntax.h
@@ -22,4 +22,11 @@
 // ignored.
 TransferCoding ReadTransferCoding(std::string_view value);
 
+// Returns whether the status may be that of a response to a request of this
+// process: 100 to 599, without 101, since no request asks for another protocol.
+bool IsResponseStatus(int status);
+
+// Returns whether another response to the same request follows this one.
+bool IsInterimStatus(int status);
+
 }  // namespace coltsfootfork
--- a/src/shell/net/message_parser.cc
+++ b/src/shell/net/message_parser.cc
@@ -121,10 +121,15 @@
   body_limit(boost::none);
 }
 
+bool ResponseParser::is_interim() const {
+  return IsInterimStatus(head_.status);
+}
+
 void ResponseParser::on_response_impl(int code, Text /*reason*/, int version,
-                                      Error& /*error*/) {
+                                      Error& error) {
   SetVersion(version);
   head_.status = code;
+  if (!IsResponseStatus(code)) error = http::error::bad_status;
 }
 
 void ResponseParser::on_header_impl(Error& error) {
--- a/src/shell/net/message_parser.h
+++ b/src/shell/net/message_parser.h
@@ -15,9 +15,9 @@
 // available as they arrive, independent of their framing. Trailer fields are
 // discarded.
 //
-// Besides what the parser of Boost.Beast rejects, a transfer coding that is not
-// exactly "chunked", or that is used in HTTP/1.0, is an error
-// (bad_transfer_encoding).
+// Besides what the parser of Boost.Beast rejects, these are errors: a transfer
+// coding that is not exactly "chunked", or that is used in HTTP/1.0
+// (bad_transfer_encoding), and a status that no response may have (bad_status).
 template <bool is_request>
 class MessageParser : public boost::beast::http::basic_parser<is_request> {
  public:
@@ -89,6 +89,8 @@
   // The status and header fields, valid once is_header_done(). The body is
   // empty, and the content type is not among the fields.
   const HttpResponse& head() const { return head_; }
+  // Returns whether the final response follows this one.
+  bool is_interim() const;
 
  private:
   void on_response_impl(int code, Text reason, int version,
--- a/tests/adapters/scripted_answers_test.cc
+++ b/tests/adapters/scripted_answers_test.cc
@@ -122,6 +122,23 @@
              "interrupted");
 }
 
+// Guards against a response without a valid status, and an interim one, that
+// the caller gets as the response.
+BOOST_FIXTURE_TEST_CASE(OnlyFinalResponseCompletesTheRequest,
+                        ScriptedServerFixture) {
+  kind = RequestKind::kPlainCall;
+  const std::string rest = "Content-Length: 2\r\n\r\nok";
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    BOOST_TEST(OutcomeOfResponse(std::string("HTTP/1.1 ") + status + " X\r\n" +
+                                 rest) == "interrupted");
+  }
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n";
+  BOOST_TEST(OutcomeOfResponse(interim) == "interrupted");
+  BOOST_TEST(OutcomeOfResponse(interim + interim + "HTTP/1.1 404 No\r\n" +
+                               rest) == "completed");
+  BOOST_TEST(Received<EngineCompleted>().back().status == 404);
+}
+
 BOOST_FIXTURE_TEST_CASE(OnlyFailedConnectionIsNeverSent, AdapterFixture) {
   Submit("unannounced", "a");
   RunUntil([&] { return !OutcomeOf("unannounced").empty(); });
--- /dev/null
+++ b/tests/platform/malformed_responses_test.cc
@@ -0,0 +1,111 @@
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "platform/gateway_fixture.h"
+#include "platform/scripted_server.h"
+
+// Bytes of a server that are not an HTTP response, although they resemble one:
+// the caller must get neither them nor a body that was read by them.
+namespace coltsfootfork {
+namespace {
+
+constexpr const char* kEvents = "id: 1\ndata: x\n\n";
+constexpr const char* kBodies[] = {
+    "Content-Length: 15\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\nf\r\n",
+    "\r\n",
+};
+
+std::string IdOf(const std::string& request) {
+  const std::string name = "Request-Id: ";
+  const std::size_t at = request.find(name) + name.size();
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+// What a caller receives if the server responds with these bytes; nullopt if
+// it is incomplete. "@" stands for the request's id.
+std::optional<HttpResponse> Fetch(const std::string& path, std::string bytes,
+                                  bool close) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string& request, int) {
+    bytes.replace(bytes.find('@'), 1, IdOf(request));
+    return ScriptedResponse{bytes, close, /*reset=*/false};
+  });
+  fixture.SetPlan();
+  const bool is_engine = path == "/talk/1";
+  fixture.Announce("i-1", server.address(), is_engine ? "model" : "ledger");
+  return fixture.Fetch(is_engine ? fixture.StreamRequest(path, "r1")
+                                 : fixture.Request(path, "r1"));
+}
+
+std::string Fields(const std::string& type) {
+  return "Request-Id: @\r\nResponse-Signature: s\r\nContent-Type: " + type +
+         "\r\n";
+}
+
+// Calls check(path, content type, framing fields and body) for each kind of
+// response.
+void ForEachKind(const std::function<void(const char* path, const char* type,
+                                          const std::string& rest)>& check) {
+  for (const char* path : {"/talk/1", "/sale/1"}) {
+    for (const char* type : {"text/event-stream", "text/plain"}) {
+      for (const char* body : kBodies) {
+        const bool is_chunked = body == kBodies[1];
+        std::string rest = body;
+        rest += kEvents;
+        check(path, type, is_chunked ? rest + "\r\n0\r\n\r\n" : rest);
+      }
+    }
+  }
+}
+
+// Guards against a response that the caller gets, or that holds up the call,
+// although its status is none.
+BOOST_AUTO_TEST_CASE(ResponseWithoutValidStatusIsNotForwarded) {
+  for (const std::string status :
+       {"000", "001", "099", "101", "600", "999", "0200", "20", "2x0"}) {
+    ForEachKind([&](const char* path, const char* type,
+                    const std::string& rest) {
+      BOOST_TEST_CONTEXT(status << " " << path << " " << rest) {
+        // The connection stays open: the call must not wait for another
+        // response.
+        const auto response = Fetch(
+            path, "HTTP/1.1 " + status + " X\r\n" + Fields(type) + rest, false);
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response->status == 502);
+      }
+    });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EachValidStatusIsForwarded) {
+  for (const int status : {200, 206, 299, 301, 400, 404, 499, 500, 504, 599}) {
+    const auto response =
+        Fetch("/sale/1",
+              "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
+                  Fields("text/plain") + "Content-Length: 2\r\n\r\nok",
+              false);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->status == status);
+    BOOST_TEST(response->body == "ok");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
+  ForEachKind([](const char* path, const char* type, const std::string& rest) {
+    const auto response =
+        Fetch(path,
+              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+              "<x>\r\n\r\nHTTP/1.1 200 OK\r\n" +
+                  Fields(type) + rest,
+              true);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->status == 200);
+    BOOST_TEST(response->body == kEvents);
+  });
+}
+
+}  // namespace
+}  // namespace coltsfootfork
--- a/tests/shell/net/http_client_test.cc
+++ b/tests/shell/net/http_client_test.cc
@@ -65,5 +65,27 @@
              "4\r\nbody\r\n0\r\n\r\n"));
 }
 
+// Guards against bytes that are taken for a response although their status is
+// none.
+BOOST_AUTO_TEST_CASE(ResponseWithoutValidStatusIsMalformed) {
+  for (const char* status : {"000", "099", "101", "600", "999", "20", "2000"}) {
+    BOOST_TEST(!Fetch(std::string("HTTP/1.1 ") + status +
+                      " X\r\nContent-Length: 2\r\n\r\nok"));
+  }
+}
+
+// Guards against an interim response that is taken for the final one.
+BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+      "<x>\r\n\r\n";
+  const auto response =
+      Fetch(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->status == 200);
+  BOOST_TEST(response->body == "ok");
+  BOOST_TEST(!Fetch(interim));
+}
+
 }  // namespace
 }  // namespace coltsfootfork
