net: Reject fields that are continued on another line

What callers saw: in a response, a line that began with a blank or a tab, such as " Content-Length: 15", was passed on as a part of the field before it, and the body was read without that length.

Cause: the parser of Boost.Beast rejects names with blanks and control characters, but joins a line that begins with a blank or a tab to the field before it (obsolete line folding), in heads, trailers and interim responses.

Change: MessageParser compares where a value begins with where it begins on the line of its name, and rejects a field that is continued. All readers use it: requests get 400, responses break off. As every line then is a field by itself, the check of names holds for each of them.

--- a/src/shell/net/http_syntax.cc
+++ b/src/shell/net/http_syntax.cc
@@ -43,6 +43,13 @@
   return has_others ? TransferCoding::kUnsupported : TransferCoding::kChunked;
 }
 
+bool IsOnOneLine(std::string_view name, std::string_view value) {
+  constexpr std::size_t kColonBytes = 1;
+  const char* begin = name.data() + name.size() + kColonBytes;
+  while (kBlanks.find(*begin) != std::string_view::npos) ++begin;
+  return begin == value.data();
+}
+
 bool IsResponseStatus(int status) {
   return status >= kFirstStatus && status <= kLastStatus &&
          status != kSwitchingProtocols;
--- a/src/shell/net/message_parser.cc
+++ b/src/shell/net/message_parser.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <limits>
+#include <string_view>
 #include <utility>
 
 #include "shell/net/http_syntax.h"
@@ -15,6 +16,10 @@
 constexpr std::size_t kMaxResponseHeadBytes = 32U << 10U;
 constexpr int kHttp11 = 11;
 
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
 }  // namespace
 
 template <bool is_request>
@@ -43,7 +48,11 @@
 
 template <bool is_request>
 void MessageParser<is_request>::on_field_impl(http::field name, Text name_text,
-                                              Text value, Error& /*error*/) {
+                                              Text value, Error& error) {
+  if (!IsOnOneLine(View(name_text), View(value))) {
+    error = http::error::bad_obs_fold;
+    return;
+  }
   if (has_head_) return;
   if (name == http::field::transfer_encoding) {
     transfer_encoding_ += std::string(value) + ",";
--- a/src/shell/net/message_parser.h
+++ b/src/shell/net/message_parser.h
@@ -17,7 +17,8 @@
 //
 // Besides what the parser of Boost.Beast rejects, these are errors: a transfer
 // coding that is not exactly "chunked", or that is used in HTTP/1.0
-// (bad_transfer_encoding), and a status that no response may have (bad_status).
+// (bad_transfer_encoding), a field that is continued on another line
+// (bad_obs_fold), and a status that no response may have (bad_status).
 template <bool is_request>
 class MessageParser : public boost::beast::http::basic_parser<is_request> {
  public:
--- a/tests/platform/malformed_responses_test.cc
+++ b/tests/platform/malformed_responses_test.cc
@@ -107,5 +107,98 @@
   });
 }
 
+// Lines that are no field, since the name holds what no name may.
+const std::string kBadLines[] = {
+    " X-Name: v\r\n",
+    "\tX-Name: v\r\n",
+    " \t X-Name: v\r\n",
+    "X-Name : v\r\n",
+    "X-Name\t: v\r\n",
+    "X Name: v\r\n",
+    std::string("X-\0Name: v\r\n", 12),
+    "\x01X-Name: v\r\n",
+    "X-Name\x1f: v\r\n",
+    "X\x7fName: v\r\n",
+    "X\x0bName: v\r\n",
+    ": v\r\n",
+    "X-Name\r\n",
+    " Content-Length: 1\r\n",
+    "\tContent-Length: 1\r\n",
+    "Content-Length : 1\r\n",
+    " Transfer-Encoding: chunked\r\n",
+    " \r\n",
+};
+
+bool IsSuccess(const std::optional<HttpResponse>& response) {
+  return response && response->status < 300;
+}
+
+// Guards against a malformed line that is joined to the field before it, or
+// passed on, and against a body whose end such a line hides.
+BOOST_AUTO_TEST_CASE(ResponseWithMalformedFieldNameIsNotForwarded) {
+  for (const std::string& line : kBadLines) {
+    ForEachKind(
+        [&](const char* path, const char* type, const std::string& rest) {
+          const std::string fields = Fields(type);
+          for (const std::string& head : {line + fields, fields + line}) {
+            BOOST_TEST_CONTEXT(path << " " << head << rest) {
+              const auto response =
+                  Fetch(path, "HTTP/1.1 200 OK\r\n" + head + rest, true);
+              BOOST_REQUIRE(response.has_value());
+              BOOST_TEST(response->status == 502);
+            }
+          }
+        });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ErrorWithMalformedFieldNameIsNotForwarded) {
+  for (const char* status : {"404 Not Found", "500 Error", "503 Busy"}) {
+    for (const std::string& line : kBadLines) {
+      const auto response = Fetch(
+          "/sale/1",
+          std::string("HTTP/1.1 ") + status + "\r\n" + Fields("text/plain") +
+              "Not-Executed: full\r\n" + line + "Content-Length: 2\r\n\r\nno",
+          false);
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response->status == 502);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MalformedFieldNameInTrailerMakesResponseIncomplete) {
+  for (const std::string& line : kBadLines) {
+    for (const char* before : {"", "X-Trailer: t\r\n"}) {
+      for (const char* path : {"/talk/1", "/sale/1"}) {
+        for (const char* type : {"text/event-stream", "text/plain"}) {
+          const auto response =
+              Fetch(path,
+                    "HTTP/1.1 200 OK\r\n" + Fields(type) + kBodies[1] +
+                        kEvents + "\r\n0\r\n" + before + line + "\r\n",
+                    false);
+          BOOST_TEST(!IsSuccess(response), path << before << line);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MalformedFieldNameInInterimResponseEndsTheExchange) {
+  for (const std::string& line : kBadLines) {
+    for (const char* before : {"", "Link: <x>\r\n"}) {
+      ForEachKind([&](const char* path, const char* type,
+                      const std::string& rest) {
+        const auto response =
+            Fetch(path,
+                  std::string("HTTP/1.1 103 Early Hints\r\n") + before + line +
+                      "\r\nHTTP/1.1 200 OK\r\n" + Fields(type) + rest,
+                  true);
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response->status == 502);
+      });
+    }
+  }
+}
+
 }  // namespace
 }  // namespace coltsfootfork
--- a/tests/shell/net/http_client_test.cc
+++ b/tests/shell/net/http_client_test.cc
@@ -74,6 +74,25 @@
   }
 }
 
+// Guards against a malformed line that is joined to the field before it, and
+// against a body whose end such a line hides.
+BOOST_AUTO_TEST_CASE(ResponseWithMalformedFieldNameIsMalformed) {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string end_of_chunks = "\r\n4\r\nbody\r\n0\r\n";
+  for (const std::string line :
+       {" X-Name: v\r\n", "\tX-Name: v\r\n", "X-Name : v\r\n",
+        "X\x01Name: v\r\n", " Content-Length: 2\r\n"}) {
+    BOOST_TEST(!Fetch(status + line + "\r\nok"));
+    BOOST_TEST(!Fetch(status + "X-Field: value\r\n" + line + "\r\nok"));
+    BOOST_TEST(!Fetch(status + chunked + end_of_chunks + line + "\r\n"));
+    BOOST_TEST(!Fetch(status + chunked + end_of_chunks + "X-Trailer: t\r\n" +
+                      line + "\r\n"));
+    BOOST_TEST(!Fetch("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n" + line +
+                      "\r\n" + status + "\r\nok"));
+  }
+}
+
 // Guards against an interim response that is taken for the final one.
 BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
   const std::string interim =
--- a/tests/shell/net/request_framing_test.cc
+++ b/tests/shell/net/request_framing_test.cc
@@ -162,6 +162,42 @@
       (std::vector<std::string>{"/inner ", "/last body"}));
 }
 
+// Lines that are no field, since the name holds what no name may.
+const std::string kMalformedLines[] = {
+    " X-Name: v\r\n",
+    "\tX-Name: v\r\n",
+    "X-Name : v\r\n",
+    "X Name: v\r\n",
+    std::string("X-\0Name: v\r\n", 12),
+    "X\x7fName: v\r\n",
+    ": v\r\n",
+    " Content-Length: 40\r\n",
+    "\tTransfer-Encoding: chunked\r\n",
+    "Content-Length : 40\r\n",
+    "Content-Length:\r\n 40\r\n",
+    " \r\n",
+};
+
+// Guards against a malformed line that is joined to the field before it, or
+// passed on, and against a body whose end such a line hides.
+BOOST_AUTO_TEST_CASE(RequestWithMalformedFieldNameIsRejected) {
+  for (const std::string& line : kMalformedLines) {
+    BOOST_TEST_CONTEXT(line) {
+      for (const std::string& bytes :
+           {"POST /last HTTP/1.1\r\n" + line + "Host: h\r\n\r\n",
+            Post(line, kInnerRequest),
+            Post("Transfer-Encoding: chunked\r\n",
+                 Chunk("body") + "0\r\n" + line + "\r\n"),
+            Post("Transfer-Encoding: chunked\r\n",
+                 Chunk("body") + "0\r\nX-Trailer: t\r\n" + line + "\r\n")}) {
+        const Handling handling = Handle(bytes);
+        BOOST_TEST(handling.requests.empty());
+        BOOST_TEST(handling.Status() == "400");
+      }
+    }
+  }
+}
+
 // Guards against a trailer that is taken for a part of the head, with which a
 // client could replace what is known of the request already.
 BOOST_AUTO_TEST_CASE(TrailerFieldsAreNotFieldsOfTheHead) {
