--- a/tests/platform/evacuations_test.cc
+++ b/tests/platform/evacuations_test.cc
@@ -48,6 +48,16 @@
   BOOST_TEST(group.ReadVersionUntilAvailable(2) == 5);
 }
 
+// Guards against a name that ends each control process that lists the zones.
+BOOST_AUTO_TEST_CASE(ZoneNameThatIsNoPathIsRejected) {
+  ControlGroup group(3, 3);
+  group.PutUntilAccepted(0, 5);
+  for (const char* zone : {"z\xff", "\xc3", "z\xc3\xa9"}) {
+    BOOST_TEST(Order(group, 0, zone, "start") == 400);
+  }
+  BOOST_TEST(EvacuatedZonesOf(group, 0).empty());
+}
+
 BOOST_AUTO_TEST_CASE(RepeatedOrdersAreAcknowledged) {
   ControlGroup group(3, 3);
   group.PutUntilAccepted(0, 5);
--- a/tests/platform/platform_calls_test.cc
+++ b/tests/platform/platform_calls_test.cc
@@ -74,6 +74,18 @@
   BOOST_TEST(!head.expected_output_tokens.has_value());
 }
 
+// Guards against an id that ends the process when its stream migrates.
+BOOST_AUTO_TEST_CASE(TransferOfCallWithAnyIdIsWritten) {
+  KvTransferRequest transfer;
+  transfer.target_address = "127.0.0.1:1";
+  for (const char* id : {"9c41", "\xff", "\xc3", "caf\xe9"}) {
+    transfer.id = RequestId(id);
+    const HttpRequest request =
+        PlatformCalls().WriteKvTransferRequest(transfer);
+    BOOST_TEST(request.body.find("127.0.0.1:1") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ServerReceivesWorkspaceInsteadOfKey) {
   const auto fields = PlatformCalls().ForwardFields(Request(), Head());
   BOOST_TEST(FieldOf(fields, "Credential") == "none");
