net: End a connection, not the process, on an exception

Change: each reader catches it (HandlePeerInput) and closes the connection as after malformed bytes: requests, responses of servers, fetched responses, frames and links of peers, calls and responses of engines. Event 2005 names the reader and the exception.

--- a/src/adapters/engine_port.cc
+++ b/src/adapters/engine_port.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "shell/net/message_parser.h"
+#include "shell/net/peer_input.h"
 
 namespace coltsfootfork {
 namespace {
@@ -55,7 +56,9 @@
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code error, std::size_t) {
-          self->OnRead(error);
+          // Without another operation the session ends with its connection.
+          static_cast<void>(
+              HandlePeerInput("engine_call", [&] { self->OnRead(error); }));
         });
   }
 
--- a/src/adapters/http_call.cc
+++ b/src/adapters/http_call.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "shell/net/peer_input.h"
+
 namespace coltsfootfork {
 namespace {
 
@@ -58,7 +60,9 @@
   http::async_read_some(
       stream_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) {
-        self->OnRead(error);
+        const bool handled =
+            HandlePeerInput("engine_response", [&] { self->OnRead(error); });
+        if (!handled) self->Finish(HttpCallResult::kInterrupted);
       });
 }
 
@@ -85,7 +89,7 @@
   const HttpCallHandlers handlers = std::exchange(handlers_, {});
   error_code ignored;
   stream_.socket().close(ignored);
-  if (!closed_) handlers.on_end(end);
+  if (!closed_ && handlers.on_end) handlers.on_end(end);
 }
 
 }  // namespace coltsfootfork
--- a/src/shell/fleet/frame_link.cc
+++ b/src/shell/fleet/frame_link.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "shell/clock/monotonic_now.h"
+#include "shell/net/peer_input.h"
 #include "shell/net/socket_options.h"
 
 namespace coltsfootfork {
@@ -154,11 +155,14 @@
                      if (error) return self->Disconnect();
                      self->last_received_ = MonotonicNow();
                      std::string frame = std::exchange(self->incoming_, {});
-                     if (is_part) {
-                       self->OnPart(frame, is_last);
-                     } else {
-                       self->OnFrame(std::move(frame));
-                     }
+                     const bool handled = HandlePeerInput("frame", [&] {
+                       if (is_part) {
+                         self->OnPart(frame, is_last);
+                       } else {
+                         self->OnFrame(std::move(frame));
+                       }
+                     });
+                     if (!handled && !self->closed_) self->Disconnect();
                      self->incomplete_bytes_ = self->incoming_parts_.size();
                      if (!self->closed_) self->ReadLength();
                    });
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "shell/clock/monotonic_now.h"
+#include "shell/net/peer_input.h"
 #include "shell/net/socket_options.h"
 
 namespace coltsfootfork {
@@ -127,7 +128,9 @@
         self->reading_ = false;
         if (!self->open_) return;
         self->buffer_.commit(size);
-        self->OnRead(error);
+        const bool handled =
+            HandlePeerInput("response", [&] { self->OnRead(error); });
+        if (!handled) self->Fail();
       });
 }
 
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -56,6 +56,7 @@
       {Event::kLinkDown, "link_down"},
       {Event::kLinkRefused, "link_refused"},
       {Event::kConnectionsClosed, "connections_closed"},
+      {Event::kPeerInputFailed, "peer_input_failed"},
       {Event::kConfigurationInForce, "configuration_in_force"},
       {Event::kConfigurationRefused, "configuration_refused"},
       {Event::kConfigurationUnconfirmed, "configuration_unconfirmed"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -22,6 +22,7 @@
   kLinkDown = 2002,
   kLinkRefused = 2003,
   kConnectionsClosed = 2004,
+  kPeerInputFailed = 2005,
   kConfigurationInForce = 3001,
   kConfigurationRefused = 3002,
   kConfigurationUnconfirmed = 3003,
--- a/src/shell/net/http_client.cc
+++ b/src/shell/net/http_client.cc
@@ -14,6 +14,7 @@
 #include "shell/net/ip_address.h"
 #include "shell/net/message_parser.h"
 #include "shell/net/message_serializer.h"
+#include "shell/net/peer_input.h"
 
 namespace coltsfootfork {
 namespace {
@@ -68,7 +69,10 @@
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code read_error, std::size_t) {
-          self->OnRead(read_error);
+          const bool handled = HandlePeerInput(
+              "fetched_response", [&] { self->OnRead(read_error); });
+          if (!handled)
+            self->Fail(http::error::bad_value, /*never_sent=*/false);
         });
   }
 
@@ -78,12 +82,17 @@
     HttpResponse response = parser_->head();
     response.body = parser_->TakeBody();
     stream_.close();
-    done_({std::move(response), {}, false});
+    Finish({std::move(response), {}, false});
   }
 
   void Fail(error_code error, bool never_sent) {
     stream_.close();
-    done_({std::nullopt, error.message(), never_sent});
+    Finish({std::nullopt, error.message(), never_sent});
+  }
+
+  void Finish(HttpFetchResult result) {
+    const auto done = std::exchange(done_, nullptr);
+    if (done) done(std::move(result));
   }
 
   boost::beast::tcp_stream stream_;
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -10,6 +10,7 @@
 #include "shell/clock/monotonic_now.h"
 #include "shell/net/ip_address.h"
 #include "shell/net/message_serializer.h"
+#include "shell/net/peer_input.h"
 #include "shell/net/socket_progress.h"
 
 namespace coltsfootfork {
@@ -127,7 +128,9 @@
   http::async_read_some(
       stream_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) {
-        self->OnReadSome(error);
+        const bool handled =
+            HandlePeerInput("request", [&] { self->OnReadSome(error); });
+        if (!handled) self->HandleDisconnect();
       });
 }
 
--- a/src/shell/net/link_connection.cc
+++ b/src/shell/net/link_connection.cc
@@ -8,6 +8,8 @@
 #include <websocketpp/config/core_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "shell/net/peer_input.h"
+
 namespace coltsfootfork {
 namespace {
 
@@ -125,9 +127,12 @@
     socket_.async_read_some(
         asio::buffer(read_buffer_), [self](error_code error, std::size_t size) {
           if (error) return self->Fail();
-          const std::size_t consumed =
-              self->connection_->read_all(self->read_buffer_.data(), size);
-          if (consumed < size) return self->Fail();
+          std::size_t consumed = 0;
+          const bool handled = HandlePeerInput("link", [&] {
+            consumed =
+                self->connection_->read_all(self->read_buffer_.data(), size);
+          });
+          if (!handled || consumed < size) return self->Fail();
           self->Read();
         });
   }
--- a/tests/shell/fleet/frame_link_test.cc
+++ b/tests/shell/fleet/frame_link_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "shell/net/ip_address.h"
@@ -33,5 +34,23 @@
   while (!disconnected) BOOST_REQUIRE(io.run_one() > 0);
 }
 
+// Guards against a frame that ends the process.
+BOOST_AUTO_TEST_CASE(ExceptionOfTheHandlerClosesTheLink) {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, ParseEndpoint("127.0.0.1:0").value());
+  bool disconnected = false;
+  FrameLink::Events events;
+  events.on_frame = [](const std::string&) {
+    throw std::length_error("too long");
+  };
+  events.on_disconnected = [&] { disconnected = true; };
+  const auto link =
+      FrameLink::Connect(io, acceptor.local_endpoint(), std::move(events));
+  const auto peer = FrameLink::Accept(io, acceptor.accept(), {});
+  peer->Send("frame");
+  while (!disconnected) BOOST_REQUIRE(io.run_one() > 0);
+  peer->Close();
+}
+
 }  // namespace
 }  // namespace coltsfootfork
--- a/tests/shell/net/http_server_test.cc
+++ b/tests/shell/net/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "shell/net/connection_table.h"
@@ -92,6 +93,27 @@
   BOOST_TEST(handled == 0);
 }
 
+// Guards against a request that ends the process.
+BOOST_AUTO_TEST_CASE(ExceptionOfTheHandlerEndsItsConnectionOnly) {
+  boost::asio::io_context io;
+  bool disconnected = false;
+  HttpServer server(
+      io, AnyPort(), {}, [&](const HttpRequest& request, const auto& exchange) {
+        if (request.target == "/throw") {
+          exchange->OnCallerDisconnected([&] { disconnected = true; });
+          throw std::length_error("too long");
+        }
+        exchange->Respond({200, "", {}, "ok"});
+      });
+  BOOST_TEST(
+      Exchange(io, server.local_endpoint(), "GET /throw HTTP/1.1\r\n\r\n")
+          .empty());
+  BOOST_TEST(disconnected);
+  BOOST_TEST(Exchange(io, server.local_endpoint(),
+                      "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+                 .find("HTTP/1.1 200") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(CallerDisconnectIsReported) {
   boost::asio::io_context io;
   bool disconnected = false;
