net, gateway: Count and log malformed messages

Cause: requests that were rejected before they were handled left no trace, and a response that is not HTTP could not be told from a lost connection.

Change: event 2006 (one line a second at most) and http_malformed_requests_total name rejected requests; a call whose last response was not HTTP ends with end=malformed, and response_malformed counts such responses.

--- a/include/coltsfootfork/core/gateway/gateway_metrics.h
+++ b/include/coltsfootfork/core/gateway/gateway_metrics.h
@@ -82,6 +82,8 @@
   kServerRequestedBackoff,
   // Responses that exceeded their size limit and were aborted.
   kOversizedResponse,
+  // Responses that were not valid HTTP.
+  kMalformedResponse,
   // Streams that were not read for a while since their callers read slowly.
   kReadPaused,
 };
--- a/src/core/gateway/gateway_metrics.cc
+++ b/src/core/gateway/gateway_metrics.cc
@@ -52,6 +52,8 @@
       return "server_asked_for_time";
     case GatewayCounter::kOversizedResponse:
       return "answer_without_end";
+    case GatewayCounter::kMalformedResponse:
+      return "response_malformed";
     case GatewayCounter::kReadPaused:
       return "read_paused";
   }
--- a/src/shell/gateway/gateway_call.cc
+++ b/src/shell/gateway/gateway_call.cc
@@ -45,6 +45,8 @@
       return "closed";
     case ExchangeEnd::kBroken:
       return "broken";
+    case ExchangeEnd::kMalformed:
+      return "malformed";
     case ExchangeEnd::kOversized:
       return "oversized";
   }
--- a/src/shell/gateway/gateway_call_response.cc
+++ b/src/shell/gateway/gateway_call_response.cc
@@ -192,6 +192,9 @@
   if (end == ExchangeEnd::kOversized) {
     context_.metrics.Count(GatewayCounter::kOversizedResponse);
   }
+  if (end == ExchangeEnd::kMalformed) {
+    context_.metrics.Count(GatewayCounter::kMalformedResponse);
+  }
   if (streaming_) return OnStreamEnd(end, now);
   const bool breaks_off =
       IsEventStreamType(response_.content_type) &&
--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -161,7 +161,7 @@
         error == http::error::header_limit ||
         (consumed == 0 && buffer_.size() > kMaxUnparsedBytes);
     if (oversized || (error && error != http::error::need_more)) {
-      Fail(oversized ? ExchangeEnd::kOversized : ExchangeEnd::kBroken);
+      Fail(oversized ? ExchangeEnd::kOversized : ExchangeEnd::kMalformed);
       return false;
     }
     if (!had_head && parser_->is_header_done() && !OnHead()) return false;
--- a/src/shell/gateway/server_connection.h
+++ b/src/shell/gateway/server_connection.h
@@ -24,8 +24,10 @@
   // The response has neither a length nor chunks, and the server closed the
   // connection in order.
   kClosed,
-  // The connection was closed early, or the response is not valid HTTP.
+  // The connection was closed early.
   kBroken,
+  // The response is not valid HTTP.
+  kMalformed,
   // Too much HTTP framing, or too many bytes of responses to other calls.
   kOversized,
 };
--- a/src/shell/log/event.cc
+++ b/src/shell/log/event.cc
@@ -57,6 +57,7 @@
       {Event::kLinkRefused, "link_refused"},
       {Event::kConnectionsClosed, "connections_closed"},
       {Event::kPeerInputFailed, "peer_input_failed"},
+      {Event::kRequestMalformed, "request_malformed"},
       {Event::kConfigurationInForce, "configuration_in_force"},
       {Event::kConfigurationRefused, "configuration_refused"},
       {Event::kConfigurationUnconfirmed, "configuration_unconfirmed"},
--- a/src/shell/log/event.h
+++ b/src/shell/log/event.h
@@ -23,6 +23,7 @@
   kLinkRefused = 2003,
   kConnectionsClosed = 2004,
   kPeerInputFailed = 2005,
+  kRequestMalformed = 2006,
   kConfigurationInForce = 3001,
   kConfigurationRefused = 3002,
   kConfigurationUnconfirmed = 3003,
--- a/src/shell/net/connection_table.cc
+++ b/src/shell/net/connection_table.cc
@@ -107,10 +107,25 @@
        {"unread_ms", std::to_string(ToMilliseconds(end.unread_time))}});
 }
 
+void ConnectionTable::OnMalformedRequest(const MalformedRequest& request,
+                                         Time now) {
+  ++malformed_requests_;
+  ++unlogged_malformed_requests_;
+  if (now < next_malformed_request_log_) return;
+  next_malformed_request_log_ = now + kLogInterval;
+  Log(LogLevel::kInfo, Event::kRequestMalformed,
+      {{"count",
+        std::to_string(std::exchange(unlogged_malformed_requests_, 0))},
+       {"status", std::to_string(request.status)},
+       {"problem", request.problem},
+       {"client", request.client}});
+}
+
 std::map<std::string, std::uint64_t> ConnectionTable::MetricValues() const {
   std::map<std::string, std::uint64_t> values = {
       {"http_connections", limiter_.connections()},
       {"http_reading_bytes", limiter_.reading_bytes()},
+      {"http_malformed_requests_total", malformed_requests_},
   };
   for (const ConnectionPhase phase :
        {ConnectionPhase::kIdle, ConnectionPhase::kReadingHead,
--- a/src/shell/net/connection_table.h
+++ b/src/shell/net/connection_table.h
@@ -37,6 +37,15 @@
   Duration unread_time{0};
 };
 
+// A request that was rejected before it was handled.
+struct MalformedRequest {
+  // The status of the response.
+  int status = 0;
+  std::string problem;
+  // IP:PORT; empty if it is not known any more.
+  std::string client;
+};
+
 // Both close a connection.
 struct ConnectionHandlers {
   std::function<void()> close;
@@ -81,6 +90,8 @@
   void CloseSlowReaders(Time now);
   // Logs and counts a connection that is about to be closed.
   void OnSlowCallerEnded(const SlowCallerEnd& end, Time now);
+  // Logs and counts the request.
+  void OnMalformedRequest(const MalformedRequest& request, Time now);
 
   const std::shared_ptr<HeldBytesBudget>& held_bytes() const {
     return held_bytes_;
@@ -103,6 +114,9 @@
   std::map<SlowCallerReason, std::uint64_t> slow_callers_;
   std::uint64_t unlogged_slow_callers_ = 0;
   Time next_slow_caller_log_;
+  std::uint64_t malformed_requests_ = 0;
+  std::uint64_t unlogged_malformed_requests_ = 0;
+  Time next_malformed_request_log_;
 };
 
 }  // namespace coltsfootfork
--- a/src/shell/net/http_session.cc
+++ b/src/shell/net/http_session.cc
@@ -176,6 +176,8 @@
     status = 400;
   }
   if (status == 0) return Close();
+  connections_->OnMalformedRequest({status, error.message(), ClientAddress()},
+                                   MonotonicNow());
   SetPhase(ConnectionPhase::kResponding);
   connections_->SetReadingBytes(connection_id_, 0, MonotonicNow());
   state_ = State::kHandling;
@@ -306,12 +308,15 @@
                                    std::size_t allowed_bytes) {
   is_slow_caller_ = true;
   const Time now = MonotonicNow();
+  connections_->OnSlowCallerEnded({reason, ClientAddress(), backlog_bytes_,
+                                   allowed_bytes, now - unread_since_},
+                                  now);
+}
+
+std::string HttpSession::ClientAddress() const {
   error_code error;
   const auto client = stream_.socket().remote_endpoint(error);
-  connections_->OnSlowCallerEnded(
-      {reason, error ? std::string() : FormatEndpoint(client), backlog_bytes_,
-       allowed_bytes, now - unread_since_},
-      now);
+  return error ? std::string() : FormatEndpoint(client);
 }
 
 void HttpSession::EndSlowCaller(std::size_t allowed_bytes) {
--- a/src/shell/net/http_session.h
+++ b/src/shell/net/http_session.h
@@ -71,6 +71,8 @@
   void UpdateUnreadSince(Time now);
   // Logs that the caller reads too slowly, before the connection is closed.
   void ReportSlowCaller(SlowCallerReason reason, std::size_t allowed_bytes);
+  // Returns IP:PORT, or an empty text if it is not known any more.
+  std::string ClientAddress() const;
   void WriteNext();
   void OnWritten(boost::system::error_code error);
   void FinishResponse();
--- a/tests/platform/malformed_responses_test.cc
+++ b/tests/platform/malformed_responses_test.cc
@@ -200,5 +200,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(MalformedResponseIsCounted) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string&, int) {
+    return ScriptedResponse{"HTTP/1.1 000 X\r\n\r\n", false, false};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  fixture.Fetch(fixture.Request("/sale/1", "r1"));
+  BOOST_TEST(fixture.gateway.MetricsText().find(
+                 "{event=\"response_malformed\"} 1\n") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace coltsfootfork
--- a/tests/shell/net/request_framing_test.cc
+++ b/tests/shell/net/request_framing_test.cc
@@ -2,9 +2,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "shell/net/connection_table.h"
 #include "shell/net/http_server.h"
 #include "shell/net/ip_address.h"
 
@@ -94,6 +96,30 @@
   }
 }
 
+// Guards against requests that are rejected without a trace.
+BOOST_AUTO_TEST_CASE(MalformedRequestsAreCounted) {
+  boost::asio::io_context io;
+  const auto connections =
+      std::make_shared<ConnectionTable>(ConnectionLimits());
+  HttpServer server(
+      io, ParseEndpoint("127.0.0.1:0").value(), {},
+      [](const HttpRequest&, const auto&) {}, connections);
+  const auto count = [&] {
+    return connections->MetricValues().at("http_malformed_requests_total");
+  };
+  std::vector<tcp::socket> sockets;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    sockets.emplace_back(io).connect(server.local_endpoint());
+    boost::asio::write(
+        sockets.back(),
+        boost::asio::buffer(Post("Transfer-Encoding: gzip\r\n", "body")));
+    while (count() < i) {
+      BOOST_REQUIRE(io.run_one_for(std::chrono::seconds(20)) > 0);
+    }
+  }
+  BOOST_TEST(count() == 3U);
+}
+
 // Guards against a body that is forwarded without a coding that it has.
 BOOST_AUTO_TEST_CASE(OtherTransferCodingsAreNotImplemented) {
   for (const char* fields :
