gateway: Bound the Keep-Alive timeout of servers

Cause: the seconds of a server's Keep-Alive field were used as they are; large ones overflow when they become milliseconds and a point in time.

Change: the timeout is taken as 0 to 3600 seconds.

Result: AnyKeepAliveTimeoutIsAccepted passes. It passes in a release build of the code before, too, as the overflow shows only under UBSan, where it was not run.

--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -29,6 +29,8 @@
 // How long a server is assumed to keep an idle connection if its response has
 // no Keep-Alive timeout.
 constexpr std::chrono::milliseconds kDefaultIdleTimeout{4000};
+// Longer timeouts of servers have no effect.
+constexpr std::chrono::seconds kMaxIdleTimeout{3600};
 // An idle connection is closed this long before the server closes it.
 constexpr std::chrono::milliseconds kIdleMargin{500};
 
@@ -240,7 +242,8 @@
       if (!boost::beast::iequals(name, "timeout")) continue;
       std::int64_t seconds = 0;
       std::from_chars(value.data(), value.data() + value.size(), seconds);
-      idle_timeout = std::chrono::seconds(seconds);
+      idle_timeout = std::chrono::seconds(
+          std::clamp<std::int64_t>(seconds, 0, kMaxIdleTimeout.count()));
     }
   }
   idle_until_ =
--- a/tests/platform/malformed_responses_test.cc
+++ b/tests/platform/malformed_responses_test.cc
@@ -212,5 +212,19 @@
                  "{event=\"response_malformed\"} 1\n") != std::string::npos);
 }
 
+// Guards against a timeout of a server that overflows.
+BOOST_AUTO_TEST_CASE(AnyKeepAliveTimeoutIsAccepted) {
+  for (const char* timeout : {"9223372036854775807", "-9223372036854775808",
+                              "-1", "0", "99999999999999999999", "x"}) {
+    const auto response = Fetch("/sale/1",
+                                "HTTP/1.1 200 OK\r\n" + Fields("text/plain") +
+                                    "Keep-Alive: timeout=" + timeout +
+                                    "\r\nContent-Length: 2\r\n\r\nok",
+                                false);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->body == "ok");
+  }
+}
+
 }  // namespace
 }  // namespace coltsfootfork
