--- a/tests/platform/malformed_responses_test.cc
+++ b/tests/platform/malformed_responses_test.cc
@@ -210,6 +210,27 @@
   }
 }
 
+// A head of up to 32 KiB is read, and a longer one is as a response that breaks
+// off.
+BOOST_AUTO_TEST_CASE(LongFieldOfResponseIsForwardedOrRejected) {
+  for (const std::size_t size :
+       {30'000U, 40'000U, 65'534U, 70'000U, 200'000U}) {
+    const std::string value(size, 'v');
+    const auto response = Fetch(
+        "/sale/1",
+        Concatenate({"HTTP/1.1 200 OK\r\n", Fields("text/plain"),
+                     "X-Long: ", value, "\r\nContent-Length: 2\r\n\r\nok"}),
+        false);
+    BOOST_REQUIRE(response.has_value());
+    if (size > 32U << 10U) {
+      BOOST_TEST(response->status == 502);
+    } else {
+      BOOST_TEST(response->status == 200);
+      BOOST_TEST(FieldOf(*response, "X-Long") == value);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MalformedResponseIsCounted) {
   GatewayFixture fixture;
   ScriptedServer server(fixture.io, [](const std::string&, int) {
