gateway: Read Keep-Alive parameters from text that still exists

What callers saw: nothing that was observed.

Cause: param_list refers to the text that it gets, and the range-based for statement released that text, a temporary, before the first step.

Change: the text has a name, and lives as long as the loop.

ConnectionIsNotReusedAfterItsKeepAliveTimeout is new; it was not run on the code before.

--- a/src/shell/gateway/server_connection.cc
+++ b/src/shell/gateway/server_connection.cc
@@ -238,7 +238,9 @@
   std::chrono::milliseconds idle_timeout = kDefaultIdleTimeout;
   for (const HttpField& field : parser_->head().fields) {
     if (!boost::beast::iequals(field.name, "Keep-Alive")) continue;
-    for (const auto& [name, value] : http::param_list(";" + field.value)) {
+    // param_list only refers to the text.
+    const std::string parameters = ";" + field.value;
+    for (const auto& [name, value] : http::param_list(parameters)) {
       if (!boost::beast::iequals(name, "timeout")) continue;
       std::int64_t seconds = 0;
       std::from_chars(value.data(), value.data() + value.size(), seconds);
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -175,6 +175,24 @@
   BOOST_TEST(server.connections() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ConnectionIsNotReusedAfterItsKeepAliveTimeout) {
+  GatewayFixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& request, int) {
+    std::string response = MakeResponse(IdOf(request), "whole");
+    response.insert(response.find("\r\n") + 2,
+                    "Keep-Alive: timeout=0, max=100\r\n");
+    return ScriptedResponse{response};
+  });
+  fixture.SetPlan();
+  fixture.Announce("i-1", server.address(), "ledger");
+  for (int i = 0; i < 3; ++i) {
+    const auto response =
+        fixture.Fetch(fixture.Request("/sale/1", "r" + std::to_string(i)));
+    BOOST_TEST(response->body == "whole");
+  }
+  BOOST_TEST(server.connections() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(ResponseMayEndWithCloseButNotWithReset) {
   GatewayFixture fixture;
   bool reset = false;
--- a/tests/platform/malformed_responses_test.cc
+++ b/tests/platform/malformed_responses_test.cc
@@ -243,7 +243,8 @@
                  "{event=\"response_malformed\"} 1\n") != std::string::npos);
 }
 
-// Guards against a timeout of a server that overflows.
+// Guards against a timeout of a server that overflows, and against reading it
+// from released memory, which AddressSanitizer reports.
 BOOST_AUTO_TEST_CASE(AnyKeepAliveTimeoutIsAccepted) {
   for (const char* timeout : {"9223372036854775807", "-9223372036854775808",
                               "-1", "0", "99999999999999999999", "x"}) {
