--- a/src/shell/net/message_parser.cc
+++ b/src/shell/net/message_parser.cc
@@ -13,6 +13,7 @@
 
 namespace http = boost::beast::http;
 
+// Many times the head of any engine's response.
 constexpr std::size_t kMaxResponseHeadBytes = 32U << 10U;
 constexpr int kHttp11 = 11;
 
--- a/src/shell/net/message_parser.h
+++ b/src/shell/net/message_parser.h
@@ -32,7 +32,7 @@
   using Text = boost::beast::string_view;
   using Error = boost::beast::error_code;
 
-  // `max_head_bytes` also limits the trailer fields.
+  // Trailer fields are limited only by the buffer of the reader.
   explicit MessageParser(std::size_t max_head_bytes);
 
   // `version` is 11 for HTTP/1.1.
