storage: Sync the folder after each removal of a segment

Change: the oldest segment is deleted first, and the folder synced before the next one.

Result: EachRemovalOfASegmentIsSyncedBeforeTheNext, AFailedSyncOfARemovalIsReported and AGapIsAcceptedOnlyIfTheSnapshotCoversIt fail on the code before and pass, also under ASan.

--- a/src/shell/storage/disk_log.cc
+++ b/src/shell/storage/disk_log.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <map>
 #include <optional>
 #include <utility>
@@ -41,7 +42,7 @@
   leaf::result<void> WriteSnapshot(const Snapshot& snapshot);
   leaf::result<void> WriteRecord(LogRecord record);
   leaf::result<void> OpenNewSegment();
-  void DeleteObsoleteFiles();
+  leaf::result<void> DeleteObsoleteFiles();
 
   DiskLogOptions options_;
   DataFolder folder_;
@@ -92,7 +93,7 @@
   const bool has_record = record.hard_state || record.reset_to ||
                           record.truncate_from || !record.entries.empty();
   if (has_record) BOOST_LEAF_CHECK(WriteRecord(std::move(record)));
-  if (persist.snapshot) DeleteObsoleteFiles();
+  if (persist.snapshot) return DeleteObsoleteFiles();
   return {};
 }
 
@@ -140,16 +141,22 @@
   return {};
 }
 
-void DiskLog::Impl::DeleteObsoleteFiles() {
-  // A file that remains is harmless, so errors are ignored.
+leaf::result<void> DiskLog::Impl::DeleteObsoleteFiles() {
+  // A snapshot that remains is harmless, so errors are ignored.
   for (const auto& [index, path] : folder_.NumberedFiles(kSnapshotPrefix)) {
     if (index < snapshot_index_) ::unlink(path.c_str());
   }
+  // A power loss can bring back any of the files whose removal is not synced.
+  // With at most one of them, the oldest, the log never gets a gap.
   while (segments_.size() > 1 &&
          segments_.begin()->second.last_index <= snapshot_index_) {
-    ::unlink(segments_.begin()->second.path.c_str());
+    const std::string& path = segments_.begin()->second.path;
+    // The next snapshot tries again.
+    if (::unlink(path.c_str()) != 0 && errno != ENOENT) break;
     segments_.erase(segments_.begin());
+    BOOST_LEAF_CHECK(SyncFolder(folder_.path(), options_.fault_injector));
   }
+  return {};
 }
 
 DiskLog::DiskLog(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/src/shell/storage/recovery.cc
+++ b/src/shell/storage/recovery.cc
@@ -21,7 +21,9 @@
 // Applies log records in sequence to the recovered state.
 class LogReplay {
  public:
-  explicit LogReplay(RecoveredState& state) : state_(state) {}
+  // `covered` is the index of the snapshot, 0 without one.
+  LogReplay(RecoveredState& state, LogIndex covered)
+      : state_(state), covered_(covered) {}
 
   leaf::result<void> Apply(LogRecord record, const std::string& path,
                            std::size_t offset) {
@@ -34,6 +36,7 @@
     for (LogEntry& entry : record.entries) {
       // The segments with the entries before the first one have been deleted.
       if (state_.entries.empty() && base_ == 0) base_ = entry.index - 1;
+      SkipCoveredGap(entry.index);
       if (entry.index != base_ + state_.entries.size() + 1) {
         return CorruptionError(path, offset,
                                "an entry is missing before this record");
@@ -51,7 +54,17 @@
     if (state_.entries.empty()) base_ = from - 1;
   }
 
+  // Earlier versions removed several segments without a sync of the folder; a
+  // power loss could bring back some of them without the ones after them.
+  void SkipCoveredGap(LogIndex next) {
+    const bool has_gap = next > base_ + state_.entries.size() + 1;
+    if (!has_gap || next > covered_ + 1) return;
+    state_.entries.clear();
+    base_ = next - 1;
+  }
+
   RecoveredState& state_;
+  LogIndex covered_;
   // The index before the first entry of state_.entries.
   LogIndex base_ = 0;
 };
@@ -138,7 +151,8 @@
   content.state.incarnation = folder.incarnation();
   BOOST_LEAF_CHECK(ReadLastSnapshot(folder, content.state));
   const auto files = folder.NumberedFiles(kSegmentPrefix);
-  LogReplay log_replay(content.state);
+  const auto& snapshot = content.state.snapshot;
+  LogReplay log_replay(content.state, snapshot ? snapshot->index : 0);
   for (const auto& [number, path] : files) {
     const bool is_last = number == files.rbegin()->first;
     BOOST_LEAF_CHECK(ReadSegment(path, is_last, log_replay,
--- a/tests/shell/storage/disk_log_test.cc
+++ b/tests/shell/storage/disk_log_test.cc
@@ -222,6 +222,94 @@
   BOOST_TEST(state.snapshot->index == 400U);
 }
 
+// Guards against a log with a gap after a power loss, which can bring back any
+// of the files that were removed since the last sync of the folder.
+BOOST_AUTO_TEST_CASE(EachRemovalOfASegmentIsSyncedBeforeTheNext) {
+  const ScratchFolder scratch;
+  std::vector<std::vector<std::string>> segments_at_sync;
+  DiskLogOptions options{scratch.data()};
+  options.segment_bytes = 1;
+  options.fault_injector = [&](StorageStep step) {
+    if (step == StorageStep::kSyncFolder) {
+      segments_at_sync.push_back(scratch.Files("segment"));
+    }
+    return 0;
+  };
+  const Opened opened = Open(options);
+  for (LogIndex i = 1; i <= 5; ++i) Write(*opened.log, Entries(i, i));
+  segments_at_sync = {scratch.Files("segment")};
+  BOOST_TEST(Write(*opened.log, SnapshotAt(4)) == "");
+  segments_at_sync.push_back(scratch.Files("segment"));
+
+  BOOST_TEST(segments_at_sync.front().size() == 5U);
+  BOOST_TEST(segments_at_sync.back().size() == 1U);
+  for (std::size_t i = 1; i < segments_at_sync.size(); ++i) {
+    std::vector<std::string> without_oldest = segments_at_sync[i - 1];
+    without_oldest.erase(without_oldest.begin());
+    BOOST_TEST((segments_at_sync[i] == segments_at_sync[i - 1] ||
+                segments_at_sync[i] == without_oldest));
+  }
+}
+
+// Guards against a removal that is taken as durable although the sync of the
+// folder failed.
+BOOST_AUTO_TEST_CASE(AFailedSyncOfARemovalIsReported) {
+  const ScratchFolder scratch;
+  bool failing = false;
+  DiskLogOptions options{scratch.data()};
+  options.segment_bytes = 1;
+  options.fault_injector = [&](StorageStep step) {
+    const bool removed = failing && scratch.Files("segment").size() < 3;
+    return removed && step == StorageStep::kSyncFolder ? EIO : 0;
+  };
+  {
+    const Opened opened = Open(options);
+    for (LogIndex i = 1; i <= 3; ++i) Write(*opened.log, Entries(i, i));
+    failing = true;
+    BOOST_TEST(Write(*opened.log, SnapshotAt(2)) != "");
+    failing = false;
+    BOOST_TEST(Write(*opened.log, Entries(4, 4)) != "");
+  }
+  const RecoveredState state = Open(options).log->TakeRecovered();
+  BOOST_TEST(state.snapshot->index == 2U);
+  BOOST_TEST(state.entries.back().index == 3U);
+}
+
+// A folder that an earlier version wrote may have such a gap.
+BOOST_AUTO_TEST_CASE(AGapIsAcceptedOnlyIfTheSnapshotCoversIt) {
+  for (const LogIndex snapshot : {LogIndex{2}, LogIndex{3}, LogIndex{4}}) {
+    BOOST_TEST_CONTEXT("snapshot at " << snapshot) {
+      const ScratchFolder scratch;
+      DiskLogOptions options{scratch.data()};
+      options.segment_bytes = 1;
+      {
+        const Opened opened = Open(options);
+        for (LogIndex i = 1; i <= 5; ++i) Write(*opened.log, Entries(i, i));
+        const std::string oldest = scratch.Files("segment").front();
+        const std::string copy = scratch.data() + "/copy";
+        fs::copy_file(oldest, copy);
+        Write(*opened.log, SnapshotAt(snapshot));
+        fs::rename(copy, oldest);
+        // Entries 2 and 3, or 2 to 4, are missing.
+        while (scratch.Files("segment").size() > 3) {
+          fs::remove(scratch.Files("segment").at(1));
+        }
+      }
+      const Opened opened = Open(options);
+      if (snapshot < 3) {
+        BOOST_TEST(opened.error.find("an entry is missing") !=
+                   std::string::npos);
+        continue;
+      }
+      BOOST_REQUIRE_EQUAL(opened.error, "");
+      const RecoveredState state = opened.log->TakeRecovered();
+      BOOST_TEST(state.snapshot->index == snapshot);
+      BOOST_TEST(state.entries.back().index == 5U);
+      BOOST_TEST(Write(*opened.log, Entries(6, 6)) == "");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFailedStepIsReportedAndAllLaterWritesFail) {
   for (const StorageStep step :
        {StorageStep::kWrite, StorageStep::kSync, StorageStep::kSyncFolder}) {
