fleet: Keep replaced incarnations of a server dead

Cause: three heartbeats of the incarnation before, held up one by one by the network, arrive 1.2 s apart. IncarnationResolver takes them for those of a server whose clock was set back, and numbers that incarnation above the removed one.

Change: the directory keeps the start times of the last eight incarnations of a server that were replaced; heartbeats with one of them restore nothing. A server whose clock was set back starts at a time that is new, and is recognized as before.

--- a/include/coltsfootfork/core/fleet/incarnation_resolver.h
+++ b/include/coltsfootfork/core/fleet/incarnation_resolver.h
@@ -19,6 +19,9 @@
 // Heartbeats that keep arriving over some seconds are not delayed ones: the
 // incarnation then gets a number above the known one, and the number that it
 // reports itself is kept in ServerRecord::reported_incarnation.
+//
+// An incarnation that a later one has replaced stays dead, however its
+// heartbeats arrive.
 class IncarnationResolver {
  public:
   // How many heartbeats, and over which time, show that an incarnation is
@@ -28,9 +31,9 @@
   static constexpr Duration kMinDuration = std::chrono::seconds(2);
 
   // Returns the heartbeat with the incarnation by which the directory orders
-  // it. `known` is the server's record, or null.
-  ServerRecord Resolve(const ServerRecord& heartbeat, const ServerRecord* known,
-                       Time now);
+  // it. `known` is the server's entry in the directory, or null.
+  ServerRecord Resolve(const ServerRecord& heartbeat,
+                       const ServerDirectory::Entry* known, Time now);
 
   // Returns the incarnation by which the directory orders `reported`.
   static std::uint64_t KnownIncarnation(std::uint64_t reported,
--- a/include/coltsfootfork/core/fleet/server_directory.h
+++ b/include/coltsfootfork/core/fleet/server_directory.h
@@ -72,8 +72,14 @@
     Time changed_at;
     // When a heartbeat last arrived, here or by way of a peer.
     Time last_heartbeat;
+    // The start times that earlier incarnations of the server reported, as far
+    // as this process knew them; the latest kMaxEarlier ones, in sequence.
+    std::vector<std::uint64_t> earlier;
   };
 
+  // Heartbeats that are still on their way are of the last few incarnations.
+  static constexpr std::size_t kMaxEarlier = 8;
+
   // Merges a record. Returns true if the server is new, its incarnation,
   // service, address or state changed, or it is slow for longer than known;
   // false for a mere heartbeat.
@@ -123,6 +129,9 @@
   static constexpr std::size_t kBuckets = 64;
 
   static std::size_t BucketOf(const ServerId& id);
+  // Returns the list of earlier incarnations once `next` replaces the entry's.
+  static std::vector<std::uint64_t> EarlierIncarnations(
+      const Entry& entry, const ServerRecord& next);
   // `changed_at` is when the server got into the state of the record.
   void Store(const ServerRecord& record, Time changed_at, Time now);
   // Deletes a removed record.
--- a/src/core/fleet/incarnation_resolver.cc
+++ b/src/core/fleet/incarnation_resolver.cc
@@ -1,5 +1,6 @@
 #include "coltsfootfork/core/fleet/incarnation_resolver.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace coltsfootfork {
@@ -12,21 +13,27 @@
 }
 
 ServerRecord IncarnationResolver::Resolve(const ServerRecord& heartbeat,
-                                          const ServerRecord* known, Time now) {
+                                          const ServerDirectory::Entry* known,
+                                          Time now) {
   ServerRecord record = heartbeat;
-  record.incarnation = KnownIncarnation(heartbeat.incarnation, known);
+  record.incarnation = KnownIncarnation(
+      heartbeat.incarnation, known == nullptr ? nullptr : &known->record);
   if (record.incarnation != heartbeat.incarnation) {
     record.reported_incarnation = heartbeat.incarnation;
     return record;
   }
-  if (known == nullptr || record.incarnation >= known->incarnation) {
+  if (known == nullptr || record.incarnation >= known->record.incarnation) {
     observations_.erase(record.id);
     return record;
   }
-  if (!Observe(heartbeat, now)) return record;
+  // A server whose clock was set back starts at a time that is new.
+  const bool was_replaced =
+      std::find(known->earlier.begin(), known->earlier.end(),
+                heartbeat.incarnation) != known->earlier.end();
+  if (was_replaced || !Observe(heartbeat, now)) return record;
   observations_.erase(record.id);
   record.reported_incarnation = heartbeat.incarnation;
-  record.incarnation = known->incarnation + 1;
+  record.incarnation = known->record.incarnation + 1;
   return record;
 }
 
--- a/src/core/fleet/server_directory.cc
+++ b/src/core/fleet/server_directory.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace coltsfootfork {
 namespace {
@@ -254,10 +255,24 @@
   bucket_digests_.at(BucketOf(record.id)) ^= hash;
 }
 
+std::vector<std::uint64_t> ServerDirectory::EarlierIncarnations(
+    const Entry& entry, const ServerRecord& next) {
+  std::vector<std::uint64_t> earlier = entry.earlier;
+  const ServerRecord& record = entry.record;
+  if (next.incarnation <= record.incarnation) return earlier;
+  earlier.push_back(record.reported_incarnation != 0
+                        ? record.reported_incarnation
+                        : record.incarnation);
+  if (earlier.size() > kMaxEarlier) earlier.erase(earlier.begin());
+  return earlier;
+}
+
 void ServerDirectory::Store(const ServerRecord& record, Time changed_at,
                             Time now) {
+  std::vector<std::uint64_t> earlier;
   const auto found = entries_.find(record.id);
   if (found != entries_.end()) {
+    earlier = EarlierIncarnations(found->second, record);
     ToggleDigest(found->second.record);
     removed_.erase({found->second.changed_at, record.id});
     const std::string& previous_address = found->second.record.address;
@@ -268,7 +283,7 @@
       if (at_address->second.empty()) ids_by_address_.erase(at_address);
     }
   }
-  entries_[record.id] = {record, changed_at, now};
+  entries_[record.id] = {record, changed_at, now, std::move(earlier)};
   if (record.state == ServerState::kRemoved) {
     removed_.insert({changed_at, record.id});
   }
--- a/src/shell/fleet/control_node_directory.cc
+++ b/src/shell/fleet/control_node_directory.cc
@@ -23,8 +23,7 @@
   const Time now = MonotonicNow();
   ++counts_.heartbeats;
   const ServerDirectory::Entry* known = directory_.Find(reported.id);
-  const ServerRecord record = incarnations_.Resolve(
-      reported, known == nullptr ? nullptr : &known->record, now);
+  const ServerRecord record = incarnations_.Resolve(reported, known, now);
   const bool is_new = known == nullptr ||
                       known->record.incarnation != record.incarnation ||
                       known->record.address != record.address;
--- a/tests/core/fleet/incarnation_resolver_test.cc
+++ b/tests/core/fleet/incarnation_resolver_test.cc
@@ -21,11 +21,8 @@
     record.service = ServiceId("s");
     record.address = "10.0.0.1:80";
     record.state = state;
-    const ServerDirectory::Entry* entry = directory.Find(record.id);
     return directory.Merge(
-        resolver.Resolve(record, entry == nullptr ? nullptr : &entry->record,
-                         now),
-        now);
+        resolver.Resolve(record, directory.Find(record.id), now), now);
   }
   const ServerRecord& Known() const {
     return directory.Find(ServerId("a"))->record;
@@ -75,6 +72,56 @@
   }
 }
 
+// Guards against calls to a server that has deregistered, after heartbeats of
+// its incarnation before arrived late, one by one.
+BOOST_AUTO_TEST_CASE(ReplacedIncarnationIsNotRestored) {
+  Fixture fixture;
+  fixture.Heartbeat(3000, 41);
+  fixture.Heartbeat(5000, 1);
+  fixture.directory.MarkRemoved(ServerId("a"), 5000, fixture.now);
+  for (std::uint64_t sequence = 42; sequence <= 50; ++sequence) {
+    fixture.now += kInterval;
+    BOOST_TEST(!fixture.Heartbeat(3000, sequence));
+  }
+  BOOST_TEST(fixture.Known().incarnation == 5000U);
+  BOOST_CHECK(fixture.Known().state == ServerState::kRemoved);
+  // A restart after the clock was set back is a new incarnation.
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    fixture.now += kInterval;
+    fixture.Heartbeat(4000, sequence);
+  }
+  BOOST_TEST(fixture.Known().reported_incarnation == 4000U);
+  BOOST_CHECK(fixture.Known().state == ServerState::kReady);
+}
+
+// Incarnations are remembered by the start time that their heartbeats have.
+BOOST_AUTO_TEST_CASE(IncarnationReplacedAfterClockWasSetBackIsNotRestored) {
+  Fixture fixture;
+  for (const std::uint64_t incarnation : {5000, 3000, 2000}) {
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+      fixture.now += kInterval;
+      fixture.Heartbeat(incarnation, sequence);
+    }
+  }
+  BOOST_TEST(fixture.Known().reported_incarnation == 2000U);
+  for (const std::uint64_t incarnation : {5000, 3000}) {
+    for (std::uint64_t sequence = 4; sequence <= 8; ++sequence) {
+      fixture.now += kInterval;
+      BOOST_TEST(!fixture.Heartbeat(incarnation, sequence));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FewReplacedIncarnationsAreRemembered) {
+  Fixture fixture;
+  for (std::uint64_t incarnation = 1; incarnation <= 20; ++incarnation) {
+    fixture.Heartbeat(incarnation, 1);
+  }
+  const auto& earlier = fixture.directory.Find(ServerId("a"))->earlier;
+  BOOST_TEST(earlier.size() == ServerDirectory::kMaxEarlier);
+  BOOST_TEST(earlier.back() == 19U);
+}
+
 // A drain of the incarnation before the restart arrives late.
 BOOST_AUTO_TEST_CASE(LateDrainOfEarlierIncarnationDoesNotApply) {
   Fixture fixture;
