tests: Hold the ports of the control processes of a group

A group looked up free ports, released them, and bound them later; by then another acceptor, of the same group or of another test, could have got one of them.

Change: a ReservedAddress holds the port with a socket that does not listen. Acceptors share it, and the kernel gives it to no other socket.

The fleets of real processes, Fleet::UnusedAddress, still look up their ports.

--- a/tests/platform/control_group.cc
+++ b/tests/platform/control_group.cc
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <nlohmann/json.hpp>
@@ -17,19 +16,12 @@
 namespace {
 
 namespace fs = std::filesystem;
-using boost::asio::ip::tcp;
 using nlohmann::json;
 
 // Many times the attempts that a new group needs, each of which waits for about
 // a second: a call that is never acknowledged is a failure.
 constexpr int kMaxAttempts = 100;
 
-std::string UnusedAddress() {
-  boost::asio::io_context io;
-  const tcp::acceptor acceptor(io, ParseEndpoint("127.0.0.1:0").value());
-  return FormatEndpoint(acceptor.local_endpoint());
-}
-
 }  // namespace
 
 ControlGroup::ControlGroup(int count, int count_with_disk, UsagePacing usage)
@@ -38,7 +30,10 @@
   folder_ = ::mkdtemp(pattern.data());
   for (int i = 0; i < count; ++i) {
     ControlProcess process;
-    process.address = UnusedAddress();
+    process.reserved_address = std::make_unique<ReservedAddress>();
+    process.address = process.reserved_address->text();
+    process.reserved_api_address = std::make_unique<ReservedAddress>();
+    process.api_address = process.reserved_api_address->text();
     if (i < count_with_disk) {
       process.folder = folder_ + "/" + std::to_string(i);
     }
@@ -61,9 +56,8 @@
     options.seeds.push_back(processes[i].address);
   }
   process.control = std::make_unique<ControlNode>(io, options, MonotonicNow());
-  const auto listen = ParseEndpoint(UnusedAddress()).value();
-  process.api = std::make_unique<ControlApi>(io, listen, *process.control);
-  process.api_address = FormatEndpoint(listen);
+  process.api = std::make_unique<ControlApi>(
+      io, ParseEndpoint(process.api_address).value(), *process.control);
 }
 
 HttpResponse ControlGroup::Call(int index, const std::string& method,
--- a/tests/platform/control_group.h
+++ b/tests/platform/control_group.h
@@ -8,12 +8,15 @@
 
 #include "coltsfootfork/core/fleet/server_directory.h"
 #include "control_api.h"
+#include "platform/reserved_address.h"
 #include "shell/fleet/control_node.h"
 #include "shell/net/http_server.h"
 
 namespace coltsfootfork::platform {
 
 struct ControlProcess {
+  std::unique_ptr<ReservedAddress> reserved_address;
+  std::unique_ptr<ReservedAddress> reserved_api_address;
   std::string address;
   std::string folder;
   std::unique_ptr<ControlNode> control;
